--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,322 @@
+// Package agent is the program beside each upstream: the end point of callers'
+// flows, and the authority on them and on what its upstream may be given.
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/idempotency"
+	"pomeloway.example/pomeloway/keyring"
+	"pomeloway.example/pomeloway/link"
+	"pomeloway.example/pomeloway/process"
+	"pomeloway.example/pomeloway/quiclb"
+	"pomeloway.example/pomeloway/upstream"
+)
+
+// Agent is a running agent.
+type Agent struct {
+	*process.Process
+	opts  Options
+	conn  *conn
+	disp  *dispatcher
+	front *front
+	flows *flowTable
+	token atomic.Pointer[quiclb.Key]
+	tr    *quic.Transport
+	h3    *http3.Server
+
+	// zoneOut says that the agent's availability zone is out.
+	zoneOut atomic.Bool
+	// stopping says that the agent itself was told to stop.
+	stopping atomic.Bool
+	version  bundle.Version
+	kill     chan struct{}
+	killed   sync.Once
+	ticks    int
+}
+
+// New prepares an agent and opens its sockets.
+func New(o Options, l *slog.Logger, off guard.Off) (*Agent, error) {
+	t, err := o.callerTLS()
+	if err != nil {
+		return nil, err
+	}
+	s, err := link.Listen(o.Link)
+	if err != nil {
+		return nil, eris.Wrap(err, "--link")
+	}
+	o.Link = s.Addr()
+	a := &Agent{opts: o, flows: newFlowTable(), kill: make(chan struct{})}
+	a.disp = &dispatcher{
+		gate: &upstream.Gate{}, client: upstream.NewClient(o.Upstream),
+		siblings: &siblings{service: o.Service, self: fleet.NewID(fleet.RoleAgent, o.Link)},
+		guards:   off, counts: &RequestCounts{},
+	}
+	a.front = &front{dispatcher: a.disp, zone: o.Zone}
+	if a.Process, err = process.New(o.Options, fleet.RoleAgent, o.Service, l, a.front.peerHandler()); err != nil {
+		s.Close()
+		return nil, err
+	}
+	self := a.Node.Self()
+	a.disp.log, a.disp.peers, a.disp.life = a.Log, a.Peers, self.Incarnation
+	d := bundle.Timeouts{}.OrDefault()
+	a.disp.timeouts.Store(&d)
+	a.front.orders = &orders{d: a.disp, home: self.Peer, life: self.Incarnation, state: a.State}
+	a.conn = newConn(s, o.Service, o.Zone, self.Incarnation, a.admitFlow, a.flows.len, a.Log)
+	a.rekey(a.Keys())
+	a.serveFlows(t, self)
+	a.SetState(func() any { return a.Counts() })
+	return a, nil
+}
+
+// serveFlows sets up the end point of callers' flows.
+func (a *Agent) serveFlows(t *tls.Config, self fleet.Member) {
+	reset := quic.StatelessResetKey(a.Keys()[0].Derive(keyring.UseReset, 32))
+	a.tr = &quic.Transport{
+		Conn: a.conn, StatelessResetKey: &reset,
+		ConnectionIDGenerator: &quiclb.Generator{Key: a.token.Load, Route: quiclb.Route{
+			Service: a.opts.Service, Zone: a.opts.Zone, Agent: self.Link,
+			Incarnation: quiclb.Incarnation(self.Incarnation),
+		}},
+	}
+	a.h3 = &http3.Server{Handler: a.front, TLSConfig: http3.ConfigureTLSConfig(t), ConnContext: a.flowContext, MaxHeaderBytes: maxHeader}
+}
+
+// maxHeader bounds a request's header in bytes.
+const maxHeader = 64 << 10
+
+// flowContext registers a new flow.
+func (a *Agent) flowContext(ctx context.Context, c *quic.Conn) context.Context {
+	id := a.flows.add(c, func() {
+		a.Log.Add(events.FlowClosed, slog.String("caller", c.RemoteAddr().String()), slog.Any("cause", context.Cause(c.Context())))
+	})
+	return context.WithValue(ctx, flowKey{}, id)
+}
+
+// quicConfig returns the settings of callers' flows. Both sides keep a flow
+// alive more often than a middlebox forgets, and find a silent path in seconds.
+func (a *Agent) quicConfig() *quic.Config {
+	return &quic.Config{
+		GetConfigForClient: func(i *quic.ClientInfo) (*quic.Config, error) { return a.configFor(i) },
+	}
+}
+
+var errRefused = errors.New("no agent has room for the flow")
+
+func (a *Agent) configFor(i *quic.ClientInfo) (*quic.Config, error) {
+	if u, ok := addrPort(i.RemoteAddr); ok && a.conn.refused.has(u, time.Now()) {
+		return nil, errRefused
+	}
+	t := a.disp.timeouts.Load()
+	return &quic.Config{
+		MaxIdleTimeout: t.Idle, KeepAlivePeriod: t.KeepAlive,
+		HandshakeIdleTimeout: handshakeIdle, MaxIncomingStreams: flowStreams,
+		InitialPacketSize: link.MaxPayload,
+	}, nil
+}
+
+const (
+	handshakeIdle = 5 * time.Second
+	flowStreams   = 256
+)
+
+// Run serves until the context ends, then leaves gracefully.
+func (a *Agent) Run(stopped context.Context) error {
+	var g run.Group
+	a.AddTo(&g)
+	ctx, stop := context.WithCancel(context.Background())
+	l, err := a.tr.ListenEarly(a.h3.TLSConfig, a.quicConfig())
+	if err != nil {
+		stop()
+		return eris.Wrap(err, "flows")
+	}
+	g.Add(func() error { return a.leave(ctx, stopped) }, func(error) { stop() })
+	g.Add(func() error { return a.follow(ctx) }, func(error) { stop() })
+	g.Add(func() error { return a.watchHealth(ctx) }, func(error) { stop() })
+	g.Add(func() error { return a.acceptFlows(ctx, l) }, func(error) { a.h3.Close(); l.Close(); a.tr.Close(); a.conn.Close() })
+	a.Log.Add(events.Started, slog.String("program", "agent"), slog.String("link", a.opts.Link.String()))
+	err = g.Run()
+	a.disp.client.Close()
+	a.Log.Add(events.Stopped, slog.String("program", "agent"))
+	return err
+}
+
+// acceptFlows serves flows until the context ends. A server that shuts down
+// accepts no more at once, but its open flows go on.
+func (a *Agent) acceptFlows(ctx context.Context, l http3.QUICListener) error {
+	err := a.h3.ServeListener(l)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, quic.ErrServerClosed) {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// Kill ends the agent at once, as a crash would.
+func (a *Agent) Kill() { a.killed.Do(func() { close(a.kill) }) }
+
+// reviewEvery is how often silent balancers are dropped from the paths and
+// doubts are weighed anew; it bounds how late a return path moves.
+const reviewEvery = 250 * time.Millisecond
+
+// follow keeps up with the fleet's view.
+func (a *Agent) follow(ctx context.Context) error {
+	t := time.NewTicker(reviewEvery)
+	defer t.Stop()
+	for {
+		changed := a.State.Changed()
+		if x := a.State.Accepted(); x != nil {
+			a.apply(ctx, x)
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			a.collect()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// collectEvery is how many reviews pass between two collections.
+const collectEvery = 240
+
+func (a *Agent) collect() {
+	if a.ticks++; a.ticks%collectEvery == 0 {
+		a.front.orders.journal.Collect(time.Now())
+	}
+}
+
+func (a *Agent) apply(ctx context.Context, x *bundle.Accepted) {
+	if x.Version != a.version {
+		a.version = x.Version
+		a.applyBundle(ctx, x)
+	}
+	ms, _ := a.State.Snapshot()
+	a.conn.paths.review(ms, x.Bundle, time.Now())
+	a.disp.siblings.set(ms, a.State.Doubted(), x.Bundle)
+}
+
+func (a *Agent) applyBundle(ctx context.Context, x *bundle.Accepted) {
+	r, err := a.Ring(x)
+	if err != nil {
+		a.Log.Add(events.BundleRefused, slog.Uint64("version", uint64(x.Version)), slog.String("error", err.Error()))
+	}
+	if len(r) > 0 {
+		a.rekey(r)
+		a.Rekey(r)
+	}
+	t := x.Bundle.Timeouts.OrDefault()
+	a.disp.timeouts.Store(&t)
+	s := x.Bundle.Service(a.opts.Service)
+	a.disp.service.Store(s)
+	if s != nil {
+		a.disp.gate.Limit(s.Upstreams)
+		a.disp.client.CheckID.Store(s.Upstreams.AnswersCarryID)
+	}
+	a.SetReady(s != nil && !a.disp.leaving.Load())
+	a.setZone(ctx, x.Bundle.ZoneOut(a.opts.Zone), t.ZoneOutRun)
+}
+
+func (a *Agent) rekey(r keyring.Ring) {
+	ks := link.NewKeys(r)
+	a.conn.keys.Store(&ks)
+	a.token.Store(quiclb.NewKey(r[0]))
+	a.front.orders.sealer.Store(idempotency.NewSealer(r))
+}
+
+// setZone closes the flows a moment after the availability zone went out. The
+// users give these flows up; closing them at once lets callers open new ones in
+// other zones, where silence would hold them for the idle timeout.
+func (a *Agent) setZone(ctx context.Context, out bool, grace time.Duration) {
+	if out == a.zoneOut.Load() || a.disp.guards.Has(guard.Zone) {
+		return
+	}
+	a.zoneOut.Store(out)
+	if !out {
+		a.Log.Add(events.ZoneIn, slog.Int("zone", int(a.opts.Zone)))
+		return
+	}
+	a.Log.Add(events.ZoneOut, slog.Int("zone", int(a.opts.Zone)))
+	go func() {
+		t := time.NewTimer(grace)
+		defer t.Stop()
+		select {
+		case <-t.C:
+			if a.zoneOut.Load() {
+				a.flows.closeAll(codeZoneOut, "availability zone out")
+			}
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// codeZoneOut closes flows of a zone that is out: H3_NO_ERROR, so callers see
+// an orderly end and open new flows.
+const codeZoneOut = quic.ApplicationErrorCode(http3.ErrCodeNoError)
+
+// admitFlow says why a flow can't be taken, or nothing.
+func (a *Agent) admitFlow() events.Reason {
+	s := a.disp.service.Load()
+	switch {
+	case s == nil:
+		return events.ReasonNoCandidate
+	case a.disp.isLeaving():
+		return events.ReasonLeaving
+	case a.zoneOut.Load():
+		return events.ReasonZoneOut
+	case a.flows.len() >= s.Upstreams.Connections:
+		return events.ReasonFull
+	}
+	return ""
+}
+
+// Counts is what an agent holds and has done.
+type Counts struct {
+	Flows    int           `json:"flows"`
+	Load     upstream.Load `json:"load"`
+	Running  int64         `json:"running"`
+	Placed   uint64        `json:"placed"`
+	Passed   uint64        `json:"passed"`
+	Refused  uint64        `json:"refused"`
+	Unknown  uint64        `json:"unknown"`
+	Replayed uint64        `json:"replayed"`
+	ToHome   uint64        `json:"toHome"`
+	Cut      uint64        `json:"cut"`
+	Crossed  uint64        `json:"crossed"`
+	Dropped  uint64        `json:"dropped"`
+	Journal  int           `json:"journal"`
+	Leaving  bool          `json:"leaving"`
+	ZoneOut  bool          `json:"zoneOut"`
+	Strange  uint64        `json:"strange"`
+	Unrouted uint64        `json:"unrouted"`
+}
+
+// Counts returns the agent's counters.
+func (a *Agent) Counts() Counts {
+	c := a.disp.counts
+	return Counts{
+		Flows: a.flows.len(), Load: a.disp.gate.Load(), Running: a.disp.running.Load(),
+		Placed: c.Placed.Load(), Passed: c.Passed.Load(), Refused: c.Refused.Load(), Unknown: c.Unknown.Load(),
+		Replayed: c.Replayed.Load(), ToHome: c.ToHome.Load(), Cut: c.Cut.Load(),
+		Crossed: a.disp.client.Crossed.Load(), Dropped: a.disp.client.Dropped.Load(),
+		Journal: a.front.orders.journal.Len(), Leaving: a.disp.leaving.Load(), ZoneOut: a.zoneOut.Load(),
+		Strange: a.conn.Unknown.Load(), Unrouted: a.conn.Unrouted.Load(),
+	}
+}
--- /dev/null
+++ b/agent/conn.go
@@ -0,0 +1,233 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/link"
+	"pomeloway.example/pomeloway/quiclb"
+)
+
+func sortAddrs(as []netip.AddrPort) { slices.SortFunc(as, netip.AddrPort.Compare) }
+
+// conn is the net.PacketConn under quic-go. It strips the links' headers from
+// callers' datagrams and adds them to answers; heartbeats and openings that
+// belong elsewhere are dealt with on the way and never reach quic-go.
+type conn struct {
+	socket  *link.Socket
+	service bundle.ServiceID
+	zone    bundle.ZoneID
+	life    fleet.Incarnation
+	// admit returns why one more flow can't be taken, or nothing; flows
+	// returns how many are open.
+	admit   func() events.Reason
+	flows   func() int
+	log     *events.Log
+	keys    atomic.Pointer[link.Keys]
+	paths   paths
+	taken   openings
+	refused refusals
+
+	// Unknown counts messages without a valid tag, Unrouted answers for which
+	// no balancer was known.
+	Unknown, Unrouted, Passed, Moved atomic.Uint64
+
+	batch *link.Batch
+	next  int
+	have  int
+}
+
+const readBatch = 32
+
+func newConn(s *link.Socket, service bundle.ServiceID, zone bundle.ZoneID, life fleet.Incarnation, admit func() events.Reason, flows func() int, l *events.Log) *conn {
+	return &conn{socket: s, service: service, zone: zone, life: life, admit: admit, flows: flows, log: l, batch: link.NewBatch(readBatch)}
+}
+
+// ReadFrom returns the next datagram of a caller. quic-go reads in one goroutine.
+func (c *conn) ReadFrom(b []byte) (int, net.Addr, error) {
+	for {
+		for c.next < c.have {
+			i := c.next
+			c.next++
+			if p, from := c.handle(c.batch.Payload(i), c.batch.From(i)); p != nil {
+				return copy(b, p), net.UDPAddrFromAddrPort(from), nil
+			}
+		}
+		n, err := c.batch.Read(c.socket.Batched)
+		if err != nil {
+			return 0, nil, err
+		}
+		c.next, c.have = 0, n
+	}
+}
+
+// handle returns the caller's datagram if it is for quic-go here.
+func (c *conn) handle(p []byte, from netip.AddrPort) ([]byte, netip.AddrPort) {
+	var m link.Message
+	payload, ok := c.keys.Load().Get(p, &m)
+	if !ok {
+		c.Unknown.Add(1)
+		return nil, netip.AddrPort{}
+	}
+	switch m.Kind {
+	case link.KindHeartbeat:
+		c.answerHeartbeat(&m, from)
+	case link.KindForward:
+		if m.Service == c.service {
+			return payload, m.Caller
+		}
+	case link.KindOpen:
+		if m.Service == c.service && c.open(&m, p, payload) {
+			return payload, m.Caller
+		}
+	}
+	return nil, netip.AddrPort{}
+}
+
+func (c *conn) answerHeartbeat(m *link.Message, from netip.AddrPort) {
+	now := time.Now()
+	if !m.Fresh(now) {
+		c.Unknown.Add(1)
+		return
+	}
+	c.paths.beat(from, m.Zone, now)
+	var b [link.HeaderSize]byte
+	(*c.keys.Load())[0].Put(b[:], &link.Message{
+		Kind: link.KindHeartbeatAck, Zone: c.zone, Service: c.service,
+		Number: uint64(c.life), Load: uint16(min(c.flows(), 1<<16-1)), Sent: uint32(now.Unix()),
+	})
+	c.socket.WriteToUDPAddrPort(b[:], from)
+}
+
+// open decides on one datagram of an opening and reports whether it is taken.
+//
+// Two datagrams of one opening reach this agent over two balancers, or again
+// after a repeat. Deciding each anew would split the handshake when a slot of
+// connections is freed or lost in between; it shows as a caller's time-out. So
+// the first decision stands for as long as a caller would repeat.
+func (c *conn) open(m *link.Message, whole, payload []byte) bool {
+	class, cid := quiclb.Classify(payload)
+	if class != quiclb.ClassOpening {
+		return false
+	}
+	k, now := opening{fleet.HashOf(cid), m.Caller}, time.Now()
+	switch c.taken.get(k, now) {
+	case placeHere:
+		return true
+	case placeNext:
+		c.pass(m, whole)
+		return false
+	case placeRefused:
+		c.refused.add(m.Caller, now)
+		return true
+	}
+	return c.decide(k, m, whole, now)
+}
+
+func (c *conn) decide(k opening, m *link.Message, whole []byte, now time.Time) bool {
+	last := m.Position+1 >= m.Count
+	why := c.admit()
+	d := events.Decision{ID: events.FlowOpened, Reason: why, Service: c.service, Zone: c.zone, Caller: m.Caller, Flow: k.flow, Target: c.socket.Addr()}
+	switch {
+	case why == "":
+		d.Reason = events.ReasonFirst
+		if m.Position > 0 {
+			d.Reason = events.ReasonNext
+		}
+		c.taken.put(k, placeHere, now)
+		c.refused.clear(m.Caller, now)
+		c.log.Decide(d)
+		return true
+	case !last:
+		d.ID, d.Target = events.FlowPassed, m.Candidates[m.Position+1]
+		c.taken.put(k, placeNext, now)
+		c.log.Decide(d)
+		c.pass(m, whole)
+		return false
+	}
+	// Nobody has room: the caller hears so at once, and truthfully, since
+	// nothing of it was run.
+	d.ID = events.FlowRefused
+	c.taken.put(k, placeRefused, now)
+	c.refused.add(m.Caller, now)
+	c.log.Decide(d)
+	return true
+}
+
+// pass sends the datagram on to the next candidate.
+func (c *conn) pass(m *link.Message, whole []byte) {
+	c.Passed.Add(1)
+	m.Position++
+	(*c.keys.Load())[0].Put(whole, m)
+	c.socket.WriteToUDPAddrPort(whole, m.Candidates[m.Position])
+}
+
+type outgoing struct {
+	b [link.HeaderSize + link.MaxPayload]byte
+}
+
+var outgoings = sync.Pool{New: func() any { return new(outgoing) }}
+
+// WriteTo sends a datagram to a caller by a live balancer.
+func (c *conn) WriteTo(p []byte, to net.Addr) (int, error) {
+	u, ok := to.(*net.UDPAddr)
+	if !ok || len(p) > link.MaxPayload {
+		return len(p), nil // QUIC repeats what is lost, in smaller datagrams
+	}
+	a := u.AddrPort()
+	a = netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+	via, ok := c.paths.pick(a)
+	if !ok {
+		c.Unrouted.Add(1)
+		return len(p), nil
+	}
+	o := outgoings.Get().(*outgoing)
+	defer outgoings.Put(o)
+	m := link.Message{Kind: link.KindReturn, Zone: c.zone, Service: c.service, Caller: a}
+	(*c.keys.Load())[0].Put(o.b[:], &m)
+	n := copy(o.b[link.HeaderSize:], p)
+	if _, err := c.socket.WriteToUDPAddrPort(o.b[:link.HeaderSize+n], via); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// Close closes the link's socket.
+func (c *conn) Close() error { return c.socket.Close() }
+
+// LocalAddr returns the link's address.
+func (c *conn) LocalAddr() net.Addr { return c.socket.LocalAddr() }
+
+// SetDeadline sets both deadlines of the link's socket.
+func (c *conn) SetDeadline(t time.Time) error { return c.socket.SetDeadline(t) }
+
+// SetReadDeadline sets the read deadline of the link's socket.
+func (c *conn) SetReadDeadline(t time.Time) error { return c.socket.SetReadDeadline(t) }
+
+// SetWriteDeadline sets the write deadline of the link's socket.
+func (c *conn) SetWriteDeadline(t time.Time) error { return c.socket.SetWriteDeadline(t) }
+
+// refusals are the callers whose opening is to be refused by quic-go, which
+// asks by address only. Bounded like openings.
+type refusals struct {
+	o openings
+}
+
+func (r *refusals) add(a netip.AddrPort, now time.Time) {
+	r.o.put(opening{caller: a}, placeRefused, now)
+}
+
+func (r *refusals) has(a netip.AddrPort, now time.Time) bool {
+	return r.o.get(opening{caller: a}, now) == placeRefused
+}
+
+func (r *refusals) clear(a netip.AddrPort, now time.Time) {
+	r.o.put(opening{caller: a}, placeUnknown, now)
+}
--- /dev/null
+++ b/agent/dispatch.go
@@ -0,0 +1,281 @@
+// This file places requests. A request runs at the own upstream if a slot is
+// free, else at a sibling that has one, else it waits here, and tries one more
+// sibling while it waits. What reaches a sibling this way is run or refused at
+// once, never queued twice or passed again, so there are no loops and at most
+// two passes. Only a refusal that proves that nothing ran lets a request be sent
+// again. Given up: a global order of waiting requests; each agent has its own.
+
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/upstream"
+)
+
+const (
+	// mostPasses bounds the siblings that one request is offered to.
+	mostPasses = 2
+	// passAgain is how long a request waits before it tries the second sibling.
+	passAgain = 200 * time.Millisecond
+	// shortBody is the longest request whose time to answer says something
+	// about the upstream.
+	shortBody = 64 << 10
+)
+
+// job is one request on its way to an upstream.
+type job struct {
+	r    *http.Request
+	body *replayBody
+	flow upstream.FlowID
+	// passed says that a sibling sent it: it is run or refused at once.
+	passed bool
+	hold   bundle.Holding
+	tried  map[fleet.MemberID]bool
+	passes int
+}
+
+// answer is an upstream's answer that still has to be read.
+type answer struct {
+	*http.Response
+	// relayed says that the answer is a home's, with its outcome header.
+	relayed bool
+	// end must be called when the body was read, with the error that cut it.
+	end func(error)
+}
+
+// dispatcher places requests for one service.
+type dispatcher struct {
+	gate     *upstream.Gate
+	client   *upstream.Client
+	siblings *siblings
+	peers    http.RoundTripper
+	log      *events.Log
+	service  atomic.Pointer[bundle.Service]
+	timeouts atomic.Pointer[bundle.Timeouts]
+	leaving  atomic.Bool
+	life     fleet.Incarnation
+	seq      atomic.Uint64
+	running  atomic.Int64
+	retries  retryBudget
+	guards   guard.Off
+	counts   *RequestCounts
+}
+
+// RequestCounts are what became of requests.
+type RequestCounts struct {
+	Placed, Passed, Refused, Unknown, Replayed, ToHome, Cut atomic.Uint64
+}
+
+// place returns the answer to the job or the refusal.
+func (d *dispatcher) place(ctx context.Context, j *job) (*answer, error) {
+	if d.guards.Has(guard.Slots) {
+		d.gate.AcquireAnyway()
+		return d.run(ctx, j)
+	}
+	if !d.isLeaving() && d.gate.TryAcquire() == nil {
+		return d.run(ctx, j)
+	}
+	if j.passed {
+		return nil, refuseFull("this upstream has no free slot")
+	}
+	if a, err := d.pass(ctx, j); a != nil || !isNotRun(err) {
+		return a, err
+	}
+	if d.isLeaving() {
+		return d.passOrRefuse(ctx, j, "this upstream leaves and no other has a free slot")
+	}
+	return d.wait(ctx, j)
+}
+
+// isLeaving reports whether the upstream may get no new work.
+func (d *dispatcher) isLeaving() bool {
+	return d.leaving.Load() && !d.guards.Has(guard.Drain)
+}
+
+// wait queues for a slot and tries another sibling on the way.
+func (d *dispatcher) wait(ctx context.Context, j *job) (*answer, error) {
+	queue := d.timeouts.Load().Queue
+	err := d.gate.Acquire(ctx, j.flow, min(passAgain, queue))
+	if errors.Is(err, upstream.ErrWait) {
+		if a, err := d.pass(ctx, j); a != nil || !isNotRun(err) {
+			return a, err
+		}
+		err = d.gate.Acquire(ctx, j.flow, queue)
+	}
+	switch {
+	case err == nil:
+		return d.run(ctx, j)
+	case ctx.Err() != nil:
+		return nil, refuseTimeout("it ended before a slot was free", OutcomeNotRun)
+	}
+	return nil, refuseFull(err.Error())
+}
+
+func (d *dispatcher) passOrRefuse(ctx context.Context, j *job, why string) (*answer, error) {
+	if a, err := d.pass(ctx, j); a != nil || !isNotRun(err) {
+		return a, err
+	}
+	return nil, refuseFull(why)
+}
+
+// isNotRun reports whether the error proves that the request did not run.
+func isNotRun(err error) bool {
+	var r *refusal
+	if errors.As(err, &r) {
+		return r.outcome == OutcomeNotRun
+	}
+	return errors.Is(err, upstream.ErrNotRun)
+}
+
+// run sends the job to the own upstream; a slot is held.
+func (d *dispatcher) run(ctx context.Context, j *job) (*answer, error) {
+	body, ok := j.body.reader()
+	if !ok {
+		d.gate.Release(upstream.Sign{})
+		return nil, refuseFull("too much of the request was read to send it again")
+	}
+	id := upstream.RequestID(fmt.Sprintf("%x-%d", uint64(d.life), d.seq.Add(1)))
+	r := newOutgoing(ctx, j.r, body)
+	d.counts.Placed.Add(1)
+	d.running.Add(1)
+	d.logRequest(events.RequestPlaced, j, string(id))
+	start := time.Now()
+	a, err := d.client.Do(r, id)
+	if err != nil {
+		return d.failed(ctx, j, err)
+	}
+	if s := d.service.Load().Upstreams.ShedStatus; s != 0 && a.StatusCode == s {
+		a.Body.Close()
+		return d.failed(ctx, j, fmt.Errorf("%w: shed with status %d", upstream.ErrNotRun, s))
+	}
+	took := time.Duration(0)
+	if j.r.ContentLength >= 0 && j.r.ContentLength <= shortBody {
+		took = time.Since(start)
+	}
+	return d.answered(ctx, j, a, took), nil
+}
+
+// failed gives the slot back after the upstream gave no answer.
+func (d *dispatcher) failed(ctx context.Context, j *job, err error) (*answer, error) {
+	sign := upstream.Sign{Kind: upstream.SignBad}
+	if ctx.Err() != nil {
+		sign.Kind = upstream.SignNone
+	}
+	d.release(sign)
+	d.running.Add(-1)
+	if !errors.Is(err, upstream.ErrNotRun) {
+		if ctx.Err() != nil {
+			return nil, refuseTimeout("the upstream had not answered", OutcomeUnknown)
+		}
+		return nil, refuseUnknown(err.Error())
+	}
+	if j.passed || !d.retries.spend() {
+		return nil, refuseFull(err.Error())
+	}
+	return d.passOrRefuse(ctx, j, err.Error())
+}
+
+// answered wires the end of the answer to the slot.
+func (d *dispatcher) answered(ctx context.Context, j *job, a *http.Response, took time.Duration) *answer {
+	sign := upstream.Sign{Kind: upstream.SignGood, Took: took}
+	if a.StatusCode >= http.StatusBadGateway && a.StatusCode <= http.StatusGatewayTimeout {
+		sign = upstream.Sign{Kind: upstream.SignBad}
+	}
+	feed := j.hold == bundle.HoldingConnection
+	if feed {
+		d.release(sign) // a feed has started and now mostly waits
+	}
+	return &answer{Response: a, end: func(err error) {
+		d.running.Add(-1)
+		a.Body.Close()
+		if feed {
+			return
+		}
+		if err != nil {
+			sign = upstream.Sign{}
+			if ctx.Err() == nil {
+				sign.Kind = upstream.SignBad
+			}
+		}
+		d.release(sign)
+	}}
+}
+
+func (d *dispatcher) release(s upstream.Sign) {
+	cold, warm := d.gate.Release(s)
+	if cold {
+		d.log.Add(events.UpstreamCold, slog.Int("slots", d.gate.Load().Slots))
+	}
+	if warm {
+		d.log.Add(events.UpstreamWarm, slog.Int("slots", d.gate.Load().Slots))
+	}
+}
+
+func (d *dispatcher) logRequest(id events.ID, j *job, target string) {
+	d.log.Add(id, slog.String("method", j.r.Method), slog.String("path", j.r.URL.Path),
+		slog.String("target", target), slog.Bool("passed", j.passed))
+}
+
+// hopHeaders are of one connection and go no further (RFC 9110, 7.6.1).
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// ownHeaders are of the fleet; a caller can't set them.
+var ownHeaders = []string{HeaderOutcome, headerFree, headerPassed, headerFlow, headerService, upstream.HeaderRequest}
+
+func newOutgoing(ctx context.Context, r *http.Request, body interface {
+	Read([]byte) (int, error)
+	Close() error
+}) *http.Request {
+	o := r.Clone(ctx)
+	o.RequestURI, o.Body, o.Close = "", body, false
+	if r.ContentLength == 0 {
+		o.Body = http.NoBody
+	}
+	for _, h := range append(hopHeaders, ownHeaders...) {
+		o.Header.Del(h)
+	}
+	return o
+}
+
+// retryBudget bounds the requests that are sent again to a share of the fresh
+// ones. Without it, an upstream that refuses everything under overload would
+// make each request cost two, and the load would rise as the service fails.
+type retryBudget struct {
+	tokens atomic.Int64
+}
+
+const (
+	retryCost   = 10 // each fresh request earns one, so a tenth may be retried
+	retryTokens = 100 * retryCost
+)
+
+func (b *retryBudget) earn() {
+	if b.tokens.Load() < retryTokens {
+		b.tokens.Add(1)
+	}
+}
+
+func (b *retryBudget) spend() bool {
+	if b.tokens.Add(-retryCost) < 0 {
+		b.tokens.Add(retryCost)
+		return false
+	}
+	return true
+}
+
+func parseFlow(h http.Header) upstream.FlowID {
+	n, _ := strconv.ParseUint(h.Get(headerFlow), 16, 64)
+	return upstream.FlowID(n)
+}
--- /dev/null
+++ b/agent/flows.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+
+	"pomeloway.example/pomeloway/upstream"
+)
+
+// flowTable is the open flows of an agent.
+type flowTable struct {
+	mu   sync.Mutex
+	next upstream.FlowID
+	open map[upstream.FlowID]*quic.Conn
+}
+
+func newFlowTable() *flowTable { return &flowTable{open: map[upstream.FlowID]*quic.Conn{}} }
+
+// add holds the flow until its connection ends, then calls gone.
+func (t *flowTable) add(c *quic.Conn, gone func()) upstream.FlowID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	id := t.next
+	t.open[id] = c
+	context.AfterFunc(c.Context(), func() {
+		t.mu.Lock()
+		delete(t.open, id)
+		t.mu.Unlock()
+		gone()
+	})
+	return id
+}
+
+func (t *flowTable) len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
+
+func (t *flowTable) closeAll(code quic.ApplicationErrorCode, why string) {
+	t.mu.Lock()
+	var all []*quic.Conn
+	for _, c := range t.open {
+		all = append(all, c)
+	}
+	t.mu.Unlock()
+	for _, c := range all {
+		c.CloseWithError(code, why)
+	}
+}
+
+func addrPort(a net.Addr) (netip.AddrPort, bool) {
+	u, ok := a.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	p := u.AddrPort()
+	return netip.AddrPortFrom(p.Addr().Unmap(), p.Port()), true
+}
--- /dev/null
+++ b/agent/front.go
@@ -0,0 +1,175 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/idempotency"
+	"pomeloway.example/pomeloway/upstream"
+)
+
+// Headers that tell a caller where its flow ends.
+const (
+	HeaderZone  = "Pomeloway-Zone"
+	HeaderAgent = "Pomeloway-Agent"
+)
+
+// front serves callers' requests and those that siblings pass on.
+type front struct {
+	*dispatcher
+	orders *orders
+	zone   bundle.ZoneID
+}
+
+// flowKey is the context's key for the flow of a connection.
+type flowKey struct{}
+
+// ServeHTTP serves a caller's request.
+func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	flow, _ := r.Context().Value(flowKey{}).(upstream.FlowID)
+	f.serve(w, r, flow, "")
+}
+
+// peerHandler serves requests that siblings pass on.
+func (f *front) peerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		passed := r.Header.Get(headerPassed)
+		w.Header().Set(headerFree, strconv.Itoa(f.gate.Load().Free()))
+		s := f.service.Load()
+		// Two agents may disagree on the bundle, and an address may have passed
+		// to another service; a letter must not run at scan intake for it.
+		if s == nil || passed == "" || r.Header.Get(headerService) != strconv.Itoa(int(s.ID)) {
+			(&refusal{http.StatusMisdirectedRequest, "service", "not an agent of this service", "", OutcomeNotRun, 0}).write(w)
+			return
+		}
+		f.serve(w, r, parseFlow(r.Header), passed)
+	})
+}
+
+func (f *front) serve(w http.ResponseWriter, r *http.Request, flow upstream.FlowID, passed string) {
+	s := f.service.Load()
+	if s == nil {
+		refuseFull("no bundle is in force yet").write(w)
+		return
+	}
+	f.retries.earn()
+	ctx, stop, ok := f.deadline(r, s.Holds(r.URL.Path))
+	defer stop()
+	if !ok {
+		(&refusal{http.StatusBadRequest, "timeout", "the request's timeout is not a duration", r.Header.Get(upstream.HeaderTimeout), OutcomeNotRun, 0}).write(w)
+		return
+	}
+	j := &job{
+		r: r, body: newReplayBody(r.Body), flow: flow, passed: passed == passedWork,
+		hold: s.Holds(r.URL.Path), tried: memberTried(f.siblings.self),
+	}
+	var a *answer
+	var err error
+	switch key := r.Header.Get(idempotency.Header); {
+	case r.URL.Path == PathKey && r.Method == http.MethodPost && passed == "":
+		f.orders.issue(w, r)
+		return
+	case key != "":
+		a, err = f.orders.place(ctx, j, key, passed == passedHome)
+	default:
+		a, err = f.place(ctx, j)
+	}
+	f.finish(ctx, w, j, a, err)
+}
+
+// finish writes the answer or the refusal.
+func (f *front) finish(ctx context.Context, w http.ResponseWriter, j *job, a *answer, err error) {
+	if err != nil {
+		f.refuse(w, j, err)
+		return
+	}
+	copyAnswerHeader(w.Header(), a)
+	w.Header().Set(HeaderZone, strconv.Itoa(int(f.zone)))
+	w.Header().Set(HeaderAgent, string(f.siblings.self))
+	w.WriteHeader(a.StatusCode)
+	c := http.NewResponseController(w)
+	c.Flush()
+	err = upstream.Stream(w, c.Flush, a.Body)
+	a.end(err)
+	if err != nil {
+		// A cut answer must look cut: ending it cleanly would show a teacher
+		// half a letter as a whole one.
+		f.counts.Cut.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyAnswerHeader copies an answer's header but for what is of one connection
+// or of the fleet: an upstream must not be able to say "not run" in its name.
+func copyAnswerHeader(to http.Header, a *answer) {
+	for k, v := range a.Header {
+		if k != headerFree {
+			to[k] = append([]string(nil), v...)
+		}
+	}
+	for _, h := range append(hopHeaders, upstream.HeaderRequest) {
+		to.Del(h)
+	}
+	if !a.relayed {
+		to.Del(HeaderOutcome)
+	}
+}
+
+func (f *front) refuse(w http.ResponseWriter, j *job, err error) {
+	var r *refusal
+	if !errors.As(err, &r) {
+		r = refuseUnknown(err.Error())
+		if errors.Is(err, upstream.ErrNotRun) {
+			r = refuseFull(err.Error())
+		}
+	}
+	if f.guards.Has(guard.Outcome) {
+		r = &refusal{r.status, r.kind, r.title, r.detail, OutcomeNotRun, r.retry}
+	}
+	id := events.RequestRefused
+	if r.outcome == OutcomeUnknown {
+		id = events.RequestUnknown
+		f.counts.Unknown.Add(1)
+	} else {
+		f.counts.Refused.Add(1)
+	}
+	f.log.Add(id, slog.String("method", j.r.Method), slog.String("path", j.r.URL.Path), slog.Int("status", r.status), slog.String("error", r.Error()))
+	r.write(w)
+}
+
+// deadline returns the context in which the request must be answered: what the
+// caller asks for within what the bundle allows. A feed has only the caller's.
+func (f *front) deadline(r *http.Request, h bundle.Holding) (context.Context, context.CancelFunc, bool) {
+	most := f.timeouts.Load().Request
+	text := r.Header.Get(upstream.HeaderTimeout)
+	if text == "" {
+		if h == bundle.HoldingConnection {
+			ctx, stop := context.WithCancel(r.Context())
+			return ctx, stop, true
+		}
+		ctx, stop := context.WithTimeout(r.Context(), most)
+		return ctx, stop, true
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return r.Context(), func() {}, false
+	}
+	if h != bundle.HoldingConnection {
+		d = min(d, most)
+	}
+	ctx, stop := context.WithTimeout(r.Context(), d)
+	return ctx, stop, true
+}
+
+func setTimeout(ctx context.Context, r *http.Request) {
+	if t, ok := ctx.Deadline(); ok {
+		r.Header.Set(upstream.HeaderTimeout, time.Until(t).Round(time.Millisecond).String())
+	}
+}
--- /dev/null
+++ b/agent/handover.go
@@ -0,0 +1,124 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/idempotency"
+	"pomeloway.example/pomeloway/upstream"
+)
+
+// Headers between agents.
+const (
+	headerPassed  = "Pomeloway-Passed"
+	headerFlow    = "Pomeloway-Flow"
+	headerService = "Pomeloway-Service"
+)
+
+// Values of headerPassed.
+const (
+	passedWork = "work"
+	passedHome = "home"
+)
+
+// pass offers the job to one more sibling.
+func (d *dispatcher) pass(ctx context.Context, j *job) (*answer, error) {
+	if j.passes >= mostPasses {
+		return nil, refuseFull("no sibling has a free slot")
+	}
+	m, ok := d.siblings.pick(j.tried)
+	if !ok {
+		return nil, refuseFull("there is no other upstream to try")
+	}
+	j.passes++
+	j.tried[m.ID] = true
+	d.counts.Passed.Add(1)
+	d.logRequest(events.RequestPassed, j, string(m.ID))
+	a, err := d.send(ctx, j, m.Peer.String(), passedWork, "")
+	if a != nil {
+		d.siblings.hear(m.ID, a.Header)
+	}
+	return d.readPassed(a, err)
+}
+
+// send makes the request of another agent.
+func (d *dispatcher) send(ctx context.Context, j *job, peer, passed, key string) (*http.Response, error) {
+	body, ok := j.body.reader()
+	if !ok {
+		return nil, refuseFull("too much of the request was read to send it again")
+	}
+	r := newOutgoing(ctx, j.r, body)
+	r.URL.Scheme, r.URL.Host = "https", peer
+	r.Header.Set(headerPassed, passed)
+	r.Header.Set(headerFlow, strconv.FormatUint(uint64(j.flow), 16))
+	r.Header.Set(headerService, strconv.Itoa(int(d.service.Load().ID)))
+	r.Header.Del(idempotency.Header)
+	if key != "" {
+		r.Header.Set(idempotency.Header, key)
+	}
+	setTimeout(ctx, r)
+	a, err := d.peers.RoundTrip(r)
+	if err == nil {
+		return a, nil
+	}
+	if neverSent(err) {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrNotRun, err)
+	}
+	return nil, err
+}
+
+// neverSent reports whether a failed call to a peer proves that the peer did
+// not take the request: no connection came about, or the peer said so.
+func neverSent(err error) bool {
+	var op *net.OpError
+	var idle *quic.IdleTimeoutError
+	var hand *quic.HandshakeTimeoutError
+	var h *http3.Error
+	switch {
+	case errors.As(err, &hand):
+		return true
+	case errors.As(err, &op):
+		return op.Op == "dial"
+	case errors.As(err, &idle):
+		return false
+	case errors.As(err, &h):
+		return h.ErrorCode == http3.ErrCodeRequestRejected
+	}
+	return false
+}
+
+// readPassed tells a peer's refusal from its upstream's answer.
+func (d *dispatcher) readPassed(a *http.Response, err error) (*answer, error) {
+	switch {
+	case isNotRun(err):
+		return nil, err
+	case err != nil:
+		return nil, refuseUnknown("the agent that had it: " + err.Error())
+	}
+	switch Outcome(a.Header.Get(HeaderOutcome)) {
+	case OutcomeNotRun:
+		a.Body.Close()
+		return nil, &refusal{a.StatusCode, "full", "no upstream has a free slot", "a sibling refused", OutcomeNotRun, retrySoon}
+	case OutcomeUnknown:
+		a.Body.Close()
+		return nil, refuseUnknown("the sibling that had it does not know")
+	}
+	d.running.Add(1)
+	return &answer{Response: a, end: func(error) {
+		d.running.Add(-1)
+		a.Body.Close()
+	}}, nil
+}
+
+func memberTried(id fleet.MemberID) map[fleet.MemberID]bool {
+	return map[fleet.MemberID]bool{id: true}
+}
--- /dev/null
+++ b/agent/leave.go
@@ -0,0 +1,114 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
+)
+
+const (
+	// spread is how long after it said so a leaving agent still serves new
+	// requests of its old flows by passing them on; then callers are told to
+	// open new flows.
+	spread = 2 * time.Second
+	// keyPoll is how often the end of the journal's duty is looked at.
+	keyPoll     = 200 * time.Millisecond
+	healthEvery = time.Second
+)
+
+// leave waits for the stop and leaves: no new flows, no new work for the
+// upstream, then no new requests, and at last, when everything that runs has
+// ended, no process.
+func (a *Agent) leave(ctx, stopped context.Context) error {
+	select {
+	case <-stopped.Done():
+	case <-a.kill:
+		return nil
+	case <-ctx.Done():
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-a.kill:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	a.Log.Add(events.Draining, slog.String("program", "agent"), slog.Int("flows", a.flows.len()), slog.Int64("running", a.disp.running.Load()))
+	a.stopping.Store(true)
+	a.disp.leaving.Store(true)
+	a.SetReady(false)
+	a.Node.SetPhase(fleet.PhaseLeaving)
+	wait(ctx, spread)
+	end, stop := context.WithTimeout(ctx, a.opts.Drain)
+	defer stop()
+	a.h3.Shutdown(end) // GOAWAY, then waits for the running requests
+	a.stayHome(end)
+	a.Node.Leave()
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// stayHome goes on answering for the idempotency keys that were issued here.
+//
+// If the home went at once, a retry of an order whose answer was lost would
+// find nobody who knows of it, and end as unknown for a planned stop.
+func (a *Agent) stayHome(ctx context.Context) {
+	for time.Now().Before(a.front.orders.journal.Until()) || a.disp.running.Load() > 0 {
+		if !wait(ctx, keyPoll) {
+			return
+		}
+	}
+}
+
+// watchHealth notices that the upstream itself drains. The end point may lag or
+// mislead, so it is believed in one direction only: new work goes elsewhere
+// while it says 503, and nothing is believed of an upstream that says all is well.
+func (a *Agent) watchHealth(ctx context.Context) error {
+	if a.opts.Health == "" {
+		<-ctx.Done()
+		return nil
+	}
+	c := &http.Client{Timeout: healthEvery}
+	for wait(ctx, healthEvery) {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.opts.Upstream.String()+a.opts.Health, nil)
+		if err != nil {
+			return err
+		}
+		drains := false
+		if x, err := c.Do(r); err == nil {
+			x.Body.Close()
+			drains = x.StatusCode == http.StatusServiceUnavailable
+		}
+		a.setDrains(drains)
+	}
+	return nil
+}
+
+func (a *Agent) setDrains(drains bool) {
+	phase := a.Node.Self().Phase
+	switch {
+	case drains && phase == fleet.PhaseReady:
+		a.disp.leaving.Store(true)
+		a.Node.SetPhase(fleet.PhaseLeaving)
+	case !drains && phase == fleet.PhaseLeaving && !a.stopping.Load():
+		a.disp.leaving.Store(false)
+		a.Node.SetPhase(fleet.PhaseReady)
+	}
+}
--- /dev/null
+++ b/agent/openings.go
@@ -0,0 +1,69 @@
+// This file remembers what became of openings. One opening is several
+// datagrams, sprayed over balancers and repeated by the caller, and all of them
+// must end at one agent; so an agent keeps, for some seconds, which it took and
+// to whom it passed the others. The table is bounded and kept in two
+// generations: when the young one is full or old, it becomes the old one and the
+// old one is dropped. An operation costs one or two map look-ups; given up is an
+// exact lifetime, which is between one and two periods.
+
+package agent
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// place is where an opening went.
+type place uint8
+
+const (
+	placeUnknown place = iota
+	placeHere
+	placeNext
+	placeRefused
+)
+
+const (
+	openingLife  = 10 * time.Second
+	openingsMost = 32_768
+)
+
+// opening names an opening by its first connection ID and its caller.
+type opening struct {
+	flow   uint64
+	caller netip.AddrPort
+}
+
+type openings struct {
+	mu         sync.Mutex
+	young, old map[opening]place
+	turned     time.Time
+}
+
+func (o *openings) get(k opening, now time.Time) place {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.turn(now)
+	if p, ok := o.young[k]; ok {
+		return p
+	}
+	return o.old[k]
+}
+
+func (o *openings) put(k opening, p place, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.turn(now)
+	if o.young == nil {
+		o.young = map[opening]place{}
+	}
+	o.young[k] = p
+}
+
+func (o *openings) turn(now time.Time) {
+	if now.Sub(o.turned) < openingLife && len(o.young) < openingsMost {
+		return
+	}
+	o.old, o.young, o.turned = o.young, nil, now
+}
--- /dev/null
+++ b/agent/options.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"crypto/tls"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/process"
+)
+
+// Options are the settings of an agent.
+type Options struct {
+	process.Options `embed:""`
+	Service         bundle.ServiceID `help:"Number of the service that the upstream belongs to." required:"" env:"POMELOWAY_SERVICE" group:"Place"`
+	Upstream        netip.AddrPort   `help:"Address of the upstream's HTTP port." required:"" env:"POMELOWAY_UPSTREAM" placeholder:"IP:PORT" group:"Addresses"`
+	Health          string           `help:"Path of the upstream that answers 503 while it drains." env:"POMELOWAY_HEALTH" placeholder:"PATH" group:"Work"`
+	Certificate     string           `help:"PEM file of the certificate chain for callers." type:"path" env:"POMELOWAY_CERTIFICATE" placeholder:"FILE" group:"Keys"`
+	CertificateKey  string           `help:"PEM file of the certificate's key." type:"path" env:"POMELOWAY_CERTIFICATE_KEY" placeholder:"FILE" group:"Keys"`
+	Drain           time.Duration    `help:"Longest wait for running requests at a graceful stop." default:"4h" env:"POMELOWAY_DRAIN" group:"Work"`
+
+	// TLS takes the place of the certificate files in trials.
+	TLS *tls.Config `kong:"-"`
+}
+
+// Validate returns all that is wrong with the settings.
+func (o *Options) Validate() error {
+	var f process.Faults
+	f.Err("settings", o.Options.Validate())
+	f.Want(o.Service != 0, "--service", "must be 1 to 65535")
+	f.Address("--upstream", o.Upstream)
+	f.Want(o.Health == "" || strings.HasPrefix(o.Health, "/"), "--health", "must be a path such as /healthz")
+	f.Want(o.Drain > 0, "--drain", "must be more than zero")
+	if o.TLS == nil {
+		_, err := o.callerTLS()
+		f.Err("--certificate", err)
+	}
+	return f.All()
+}
+
+func (o *Options) callerTLS() (*tls.Config, error) {
+	if o.TLS != nil {
+		return o.TLS, nil
+	}
+	c, err := tls.LoadX509KeyPair(o.Certificate, o.CertificateKey)
+	if err != nil {
+		return nil, eris.Wrap(err, "certificate for callers")
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{c}}, nil
+}
--- /dev/null
+++ b/agent/orders.go
@@ -0,0 +1,199 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/idempotency"
+)
+
+// PathKey is where a caller gets an idempotency key, by POST.
+const PathKey = "/.well-known/pomeloway/idempotency-key"
+
+// IssuedKey is the answer of PathKey.
+type IssuedKey struct {
+	Key     string    `json:"key"`
+	Expires time.Time `json:"expires"`
+}
+
+// orders runs keyed requests at most once.
+type orders struct {
+	d       *dispatcher
+	sealer  atomic.Pointer[idempotency.Sealer]
+	journal idempotency.Journal
+	home    netip.AddrPort
+	life    fleet.Incarnation
+	state   *fleet.State
+}
+
+// issue gives the caller a key whose home is this agent.
+func (o *orders) issue(w http.ResponseWriter, r *http.Request) {
+	if o.d.leaving.Load() {
+		refuseFull("this agent leaves; open a new flow for a key").write(w)
+		return
+	}
+	t := time.Now().Add(o.d.timeouts.Load().OrderKey)
+	o.journal.Issued(t)
+	k := idempotency.Key{Home: o.home, Life: o.life, Service: o.d.service.Load().ID, Expires: t, Nonce: idempotency.NewNonce()}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	json.NewEncoder(w).Encode(IssuedKey{Key: o.sealer.Load().Seal(k), Expires: t})
+}
+
+// place runs the keyed job here if this is the key's home, else sends it there.
+func (o *orders) place(ctx context.Context, j *job, text string, atHome bool) (*answer, error) {
+	k, err := o.sealer.Load().Open(text, o.d.service.Load().ID, time.Now())
+	switch {
+	case errors.Is(err, idempotency.ErrExpired):
+		return nil, refuseKey(http.StatusGone, "key-expired", "get a new one only if the earlier request surely did not run")
+	case errors.Is(err, idempotency.ErrService):
+		return nil, refuseKey(http.StatusForbidden, "key-service", err.Error())
+	case err != nil:
+		return nil, refuseKey(http.StatusBadRequest, "key-invalid", "POST "+PathKey+" gives one")
+	}
+	if k.Home == o.home && (k.Life == o.life || o.d.guards.Has(guard.Life)) {
+		return o.atHome(ctx, j, k)
+	}
+	if atHome || !homeAlive(o.state, k.Home.String(), k.Life) {
+		// The home's next life has none of its journal. Running the request
+		// anew here could be the second time; it shows as a doubled order.
+		return nil, refuseUnknown("the agent that issued the key is gone")
+	}
+	return o.toHome(ctx, j, k, text)
+}
+
+func (o *orders) toHome(ctx context.Context, j *job, k idempotency.Key, text string) (*answer, error) {
+	o.d.counts.ToHome.Add(1)
+	o.d.logRequest(events.RequestToHome, j, k.Home.String())
+	a, err := o.d.send(ctx, j, k.Home.String(), passedHome, text)
+	if isNotRun(err) {
+		// Not run by this sending; an earlier one may have reached the home.
+		return nil, refuseUnknown("the agent that issued the key can't be reached")
+	}
+	if err != nil {
+		return nil, refuseUnknown("the agent that issued the key: " + err.Error())
+	}
+	return o.d.relay(a), nil
+}
+
+// relay returns a home's answer as it is, its refusals too.
+func (d *dispatcher) relay(a *http.Response) *answer {
+	d.running.Add(1)
+	return &answer{Response: a, relayed: true, end: func(error) {
+		d.running.Add(-1)
+		a.Body.Close()
+	}}
+}
+
+// detached returns a context with the deadline, but not the cancellation.
+func detached(ctx context.Context, most time.Duration) (context.Context, context.CancelFunc) {
+	t, ok := ctx.Deadline()
+	if !ok {
+		t = time.Now().Add(most)
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), t)
+}
+
+func (o *orders) atHome(ctx context.Context, j *job, k idempotency.Key) (*answer, error) {
+	// The order runs to its end within its time even if the caller goes away,
+	// since the caller will ask again under the same key.
+	ctx, stop := detached(ctx, o.d.timeouts.Load().Request)
+	u, fresh, err := o.journal.Begin(k, j.r.Method+" "+j.r.URL.RequestURI())
+	var a *answer
+	switch {
+	case errors.Is(err, idempotency.ErrOtherUse):
+		err = refuseKey(http.StatusUnprocessableEntity, "key-reused", err.Error())
+	case err != nil:
+		err = refuseFull(err.Error())
+	case fresh:
+		a, err = o.first(ctx, j, k, u)
+	case o.d.guards.Has(guard.Journal):
+		a, err = o.d.place(ctx, j)
+	default:
+		a, err = o.repeat(ctx, j, u)
+	}
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	end := a.end
+	a.end = func(err error) {
+		end(err)
+		stop()
+	}
+	return a, nil
+}
+
+// first runs the request and records what comes of it.
+func (o *orders) first(ctx context.Context, j *job, k idempotency.Key, u *idempotency.Use) (*answer, error) {
+	a, err := o.d.place(ctx, j)
+	if err != nil {
+		res := idempotency.ResultUnknown
+		if isNotRun(err) {
+			res = idempotency.ResultNotRun
+		}
+		o.journal.Finish(k, u, res, nil)
+		return nil, err
+	}
+	rec, err := record(a)
+	if err != nil {
+		a.end(err)
+		o.journal.Finish(k, u, idempotency.ResultUnknown, nil)
+		return nil, refuseUnknown("the upstream's answer was cut: " + err.Error())
+	}
+	o.journal.Finish(k, u, idempotency.ResultAnswered, rec)
+	return a, nil
+}
+
+// record reads the answer to its end if it is short, and returns it in the
+// form that is kept; the answer's body can still be read after it.
+func record(a *answer) (*idempotency.Recorded, error) {
+	b, err := io.ReadAll(io.LimitReader(a.Body, idempotency.MaxRecorded+1))
+	if err != nil {
+		return nil, err
+	}
+	rest := a.Body
+	a.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(b), rest), rest}
+	if len(b) > idempotency.MaxRecorded {
+		return &idempotency.Recorded{Status: a.StatusCode, TooLong: true}, nil
+	}
+	return &idempotency.Recorded{Status: a.StatusCode, Header: a.Header.Clone(), Body: b}, nil
+}
+
+// HeaderReplayed marks an answer that was recorded earlier.
+const HeaderReplayed = "Idempotency-Replayed"
+
+// repeat answers a second use of a key with what came of the first.
+func (o *orders) repeat(ctx context.Context, j *job, u *idempotency.Use) (*answer, error) {
+	res, rec, err := o.journal.Wait(ctx, u)
+	switch {
+	case err != nil:
+		return nil, refuseTimeout("the first request under this key still runs", OutcomeUnknown)
+	case res == idempotency.ResultUnknown:
+		return nil, refuseUnknown("the first request under this key got no whole answer")
+	case res == idempotency.ResultNotRun:
+		return nil, refuseFull("the first request under this key was not run; send it again")
+	case rec.TooLong:
+		return nil, refuseTooLong()
+	}
+	o.d.counts.Replayed.Add(1)
+	o.d.log.Add(events.RequestReplayed, slog.String("path", j.r.URL.Path), slog.Int("status", rec.Status))
+	h := rec.Header.Clone()
+	h.Set(HeaderReplayed, "true")
+	r := &http.Response{StatusCode: rec.Status, Header: h, Body: io.NopCloser(bytes.NewReader(rec.Body))}
+	return &answer{Response: r, end: func(error) {}}, nil
+}
--- /dev/null
+++ b/agent/paths.go
@@ -0,0 +1,95 @@
+package agent
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/fleet"
+)
+
+// pathDead is how long after its last heartbeat a balancer is no longer used:
+// three heartbeats. A feed's datagrams are lost for so long when it dies, which
+// QUIC repeats, and no caller has to speak first.
+const pathDead = 1500 * time.Millisecond
+
+// paths are the balancers that an agent may send answers through.
+type paths struct {
+	mu    sync.Mutex
+	heard map[netip.AddrPort]time.Time
+	zones map[netip.AddrPort]bundle.ZoneID
+	// live are those heard lately, in a fixed order; spare are the rest that
+	// the fleet's view names, for an agent nobody has spoken to yet.
+	live, spare []netip.AddrPort
+}
+
+// beat notes a heartbeat from a balancer.
+func (p *paths) beat(a netip.AddrPort, z bundle.ZoneID, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.heard == nil {
+		p.heard, p.zones = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]bundle.ZoneID{}
+	}
+	_, known := p.heard[a]
+	p.heard[a], p.zones[a] = now, z
+	if !known {
+		p.rebuild(now)
+	}
+}
+
+// review drops the balancers that fell silent or whose zone is out, and takes
+// the spare ones from the members.
+func (p *paths) review(ms []fleet.Member, b *bundle.Bundle, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.spare = nil
+	leaving := map[netip.AddrPort]bool{}
+	for _, m := range ms {
+		if m.Role != fleet.RoleBalancer {
+			continue
+		}
+		if m.Phase != fleet.PhaseReady || b.ZoneOut(m.Zone) {
+			leaving[m.Link] = true
+			continue
+		}
+		p.spare = append(p.spare, m.Link)
+	}
+	for a := range p.heard {
+		if leaving[a] || b.ZoneOut(p.zones[a]) {
+			delete(p.heard, a)
+		}
+	}
+	p.rebuild(now)
+}
+
+// rebuild makes the list anew; p.mu is held.
+func (p *paths) rebuild(now time.Time) {
+	var live []netip.AddrPort
+	for a, t := range p.heard {
+		if now.Sub(t) > pathDead {
+			delete(p.heard, a)
+			continue
+		}
+		live = append(live, a)
+	}
+	sortAddrs(live)
+	p.live = live
+}
+
+// pick returns the balancer for the caller's answers. All datagrams of a flow
+// take one path while it lives, since reordering costs a flow its speed.
+func (p *paths) pick(caller netip.AddrPort) (netip.AddrPort, bool) {
+	b := caller.Addr().As4()
+	k := uint64(b[0])<<40 | uint64(b[1])<<32 | uint64(b[2])<<24 | uint64(b[3])<<16 | uint64(caller.Port())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.live
+	if len(l) == 0 {
+		l = p.spare
+	}
+	if len(l) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return l[fleet.Mix(k, 0)%uint64(len(l))], true
+}
--- /dev/null
+++ b/agent/problem.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Outcome is what is known of a request that got no answer of the upstream.
+type Outcome string
+
+// Outcomes. A request that got the upstream's answer has none.
+const (
+	// OutcomeNotRun: the request certainly did not run; it may be sent again.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown: the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// HeaderOutcome carries the outcome in a refusal.
+const HeaderOutcome = "Pomeloway-Outcome"
+
+// Problem is the body of a refusal, in the form of RFC 9457.
+type Problem struct {
+	Type    string  `json:"type"`
+	Title   string  `json:"title"`
+	Status  int     `json:"status"`
+	Detail  string  `json:"detail,omitempty"`
+	Outcome Outcome `json:"outcome"`
+}
+
+// refusal is an error that a caller gets as a problem.
+type refusal struct {
+	status  int
+	kind    string
+	title   string
+	detail  string
+	outcome Outcome
+	retry   time.Duration
+}
+
+// Error returns the title and the detail.
+func (r *refusal) Error() string { return r.title + ": " + r.detail }
+
+// retrySoon is when a refused caller should come back: about the time in which
+// a slot is freed.
+const retrySoon = time.Second
+
+func refuseFull(detail string) *refusal {
+	return &refusal{http.StatusServiceUnavailable, "full", "no upstream has a free slot", detail, OutcomeNotRun, retrySoon}
+}
+
+func refuseUnknown(detail string) *refusal {
+	return &refusal{http.StatusBadGateway, "unknown", "it is not known whether the request ran", detail, OutcomeUnknown, 0}
+}
+
+func refuseTimeout(detail string, o Outcome) *refusal {
+	return &refusal{http.StatusGatewayTimeout, "timeout", "the request's time is over", detail, o, 0}
+}
+
+func refuseKey(status int, kind, detail string) *refusal {
+	return &refusal{status, kind, "the idempotency key is not accepted", detail, OutcomeNotRun, 0}
+}
+
+// refuseTooLong refuses to repeat an answer that was not kept: the request ran,
+// so it must not seem that it did not.
+func refuseTooLong() *refusal {
+	return &refusal{http.StatusConflict, "answer-too-long", "the request ran once; its answer was too long to keep", "", OutcomeUnknown, 0}
+}
+
+// write sends the refusal as application/problem+json.
+func (r *refusal) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(HeaderOutcome, string(r.outcome))
+	if r.retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.retry.Seconds()))))
+	}
+	w.WriteHeader(r.status)
+	json.NewEncoder(w).Encode(Problem{
+		Type: "urn:pomeloway:problem:" + r.kind, Title: r.title, Status: r.status, Detail: r.detail, Outcome: r.outcome,
+	})
+}
--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,273 @@
+// Package balancer is the program on an entry VM: it carries the datagrams of
+// callers to agents and back, and remembers no flow.
+package balancer
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/link"
+	"pomeloway.example/pomeloway/process"
+)
+
+// Balancer is a running balancer.
+type Balancer struct {
+	*process.Process
+	opts  Options
+	off   guard.Off
+	link  *link.Socket
+	view  atomic.Pointer[View]
+	ports atomic.Pointer[portMap]
+
+	leaving atomic.Bool
+	kill    chan struct{}
+	killed  sync.Once
+
+	mu       sync.Mutex
+	counters []*Counters
+	closed   bool
+	wait     sync.WaitGroup
+	zones    map[bundle.ZoneID]bool
+}
+
+// New prepares a balancer and opens its own sockets.
+func New(o Options, l *slog.Logger, off guard.Off) (*Balancer, error) {
+	s, err := link.Listen(o.Link)
+	if err != nil {
+		return nil, eris.Wrap(err, "--link")
+	}
+	o.Link = s.Addr()
+	o.Forwarders = max(o.Forwarders, 1)
+	p, err := process.New(o.Options, fleet.RoleBalancer, 0, l, nil)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	b := &Balancer{Process: p, off: off, opts: o, link: s, zones: map[bundle.ZoneID]bool{}, kill: make(chan struct{})}
+	b.view.Store(&View{links: link.NewKeys(p.Keys())})
+	b.ports.Store(&portMap{})
+	p.SetState(func() any { return b.Counts() })
+	return b, nil
+}
+
+// Run serves until the context ends, then leaves gracefully.
+func (b *Balancer) Run(stopped context.Context) error {
+	var g run.Group
+	b.AddTo(&g)
+	ctx, stop := context.WithCancel(context.Background())
+	g.Add(func() error { return b.leave(ctx, stopped) }, func(error) { stop() })
+	acks := make(chan ack, ackRing)
+	o := &observer{node: b.Node, link: b.link, view: &b.view, log: b.Log, acks: acks}
+	r := &returner{link: b.link, view: &b.view, ports: &b.ports, life: uint64(b.Node.Self().Incarnation), acks: acks, count: b.newCounters()}
+	g.Add(func() error { return b.follow(ctx) }, func(error) { stop() })
+	g.Add(func() error { return o.run(ctx) }, func(error) { stop() })
+	g.Add(func() error { return ended(ctx, r.run()) }, func(error) { b.close() })
+	b.Log.Add(events.Started, slog.String("program", "balancer"), slog.String("link", b.link.Addr().String()))
+	err := g.Run()
+	b.wait.Wait()
+	b.Log.Add(events.Stopped, slog.String("program", "balancer"))
+	return err
+}
+
+// leaveFor is how long a leaving balancer goes on forwarding, until the fabric
+// and the agents have taken it out of their choices.
+const leaveFor = 3 * time.Second
+
+// leave waits for the stop, tells everybody, and ends the group a little later.
+func (b *Balancer) leave(ctx, stopped context.Context) error {
+	select {
+	case <-stopped.Done():
+	case <-b.kill:
+		return nil
+	case <-ctx.Done():
+		return nil
+	}
+	b.Log.Add(events.Draining, slog.String("program", "balancer"))
+	b.leaving.Store(true)
+	b.SetReady(false)
+	b.Node.SetPhase(fleet.PhaseLeaving)
+	t := time.NewTimer(leaveFor)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-b.kill:
+		return nil
+	case <-ctx.Done():
+	}
+	b.Node.Leave()
+	return nil
+}
+
+// Kill ends the balancer at once, as a crash would.
+func (b *Balancer) Kill() { b.killed.Do(func() { close(b.kill) }) }
+
+// ended hides the error by which a closed socket ends its reader.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// close shuts all sockets.
+func (b *Balancer) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.link.Close()
+	for _, p := range *b.ports.Load() {
+		p.socket.Close()
+	}
+}
+
+// follow makes a new view of each change of the fleet.
+func (b *Balancer) follow(ctx context.Context) error {
+	t := time.NewTicker(reviewEvery)
+	defer t.Stop()
+	for {
+		changed := b.State.Changed()
+		if a := b.State.Accepted(); a != nil {
+			b.apply(a)
+		}
+		select {
+		case <-changed:
+		case <-t.C: // doubts come to count with time alone
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// reviewEvery is how often the view is made anew without a change.
+const reviewEvery = 5 * time.Second
+
+func (b *Balancer) apply(a *bundle.Accepted) {
+	r, err := b.Ring(a)
+	if err != nil {
+		b.Log.Add(events.BundleRefused, slog.Uint64("version", uint64(a.Version)), slog.String("error", err.Error()))
+	}
+	if len(r) == 0 {
+		return
+	}
+	ms, _ := b.State.Snapshot()
+	old := b.view.Load()
+	v := NewView(a, r, ms, b.State.Doubted())
+	v.off = b.off
+	b.view.Store(v)
+	if old.Version != v.Version {
+		b.Rekey(r)
+		b.logZones(a.Bundle)
+		b.listen(a.Bundle)
+	}
+	b.SetReady(!v.zoneOut[b.opts.Zone] && !b.leaving.Load())
+}
+
+func (b *Balancer) logZones(x *bundle.Bundle) {
+	for _, z := range x.Zones {
+		out := z.State == bundle.ZoneStateOut
+		if was, ok := b.zones[z.ID]; (ok || out) && was != out {
+			id := events.ZoneIn
+			if out {
+				id = events.ZoneOut
+			}
+			b.Log.Add(id, slog.String("zone", string(z.Name)))
+		}
+		b.zones[z.ID] = out
+	}
+}
+
+// listen opens and closes sockets until they are those of the bundle.
+func (b *Balancer) listen(x *bundle.Bundle) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return
+	}
+	old, next := *b.ports.Load(), portMap{}
+	for i := range x.Services {
+		s := &x.Services[i]
+		a := s.Address
+		if b.opts.Bind.IsValid() {
+			a = netip.AddrPortFrom(b.opts.Bind, a.Port())
+		}
+		if p := old[s.ID]; p != nil && p.local == a {
+			next[s.ID] = p
+			continue
+		}
+		if p := b.open(s.ID, a); p != nil {
+			next[s.ID] = p
+		}
+	}
+	b.ports.Store(&next)
+	for id, p := range old {
+		if next[id] != p {
+			p.socket.Close()
+		}
+	}
+}
+
+// open starts the forwarder of one service.
+func (b *Balancer) open(id bundle.ServiceID, a netip.AddrPort) *port {
+	s, err := link.Listen(a)
+	if err != nil {
+		b.Log.Add(events.BundleRefused, slog.String("address", a.String()), slog.String("error", err.Error()))
+		return nil
+	}
+	p := &port{id: id, local: a, socket: s}
+	f := &forwarder{port: p, link: b.link, view: &b.view, log: b.Log, count: b.countersLocked()}
+	b.wait.Go(func() { f.run() })
+	return p
+}
+
+func (b *Balancer) newCounters() *Counters {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.countersLocked()
+}
+
+func (b *Balancer) countersLocked() *Counters {
+	c := &Counters{}
+	b.counters = append(b.counters, c)
+	return c
+}
+
+// Counts is the sum of a balancer's counters.
+type Counts struct {
+	Forwarded uint64 `json:"forwarded"`
+	Opened    uint64 `json:"opened"`
+	Returned  uint64 `json:"returned"`
+	Dropped   uint64 `json:"dropped"`
+	Refused   uint64 `json:"refused"`
+	Lost      uint64 `json:"lost"`
+	Misrouted uint64 `json:"misrouted"`
+	ZoneOut   uint64 `json:"zoneOut"`
+}
+
+// Counts returns what the balancer has done so far.
+func (b *Balancer) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var s Counts
+	for _, c := range b.counters {
+		s.Forwarded += c.Forwarded.Load()
+		s.Opened += c.Opened.Load()
+		s.Returned += c.Returned.Load()
+		s.Dropped += c.Dropped.Load()
+		s.Refused += c.Refused.Load()
+		s.Lost += c.Lost.Load()
+		s.Misrouted += c.Misrouted.Load()
+		s.ZoneOut += c.ZoneOut.Load()
+	}
+	return s
+}
--- /dev/null
+++ b/balancer/forwarder.go
@@ -0,0 +1,97 @@
+package balancer
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/link"
+	"pomeloway.example/pomeloway/quiclb"
+)
+
+// batchSize is how many datagrams one system call carries. Larger ones gain
+// little and cost 1.5 kB each on every service's socket.
+const batchSize = 16
+
+// Counters are what one forwarder or returner has done. Each has its own, so
+// counting shares no cache line.
+type Counters struct {
+	Forwarded, Opened, Returned, Dropped, Refused, Lost, Misrouted, ZoneOut atomic.Uint64
+	_                                                                       [64]byte
+}
+
+// port is the balancer's socket on the address of one service.
+type port struct {
+	id     bundle.ServiceID
+	local  netip.AddrPort
+	socket *link.Socket
+}
+
+// forwarder carries callers' datagrams of one service to agents.
+type forwarder struct {
+	port  *port
+	link  *link.Socket
+	view  *atomic.Pointer[View]
+	log   *events.Log
+	count *Counters
+}
+
+// run forwards until the service's socket is closed.
+func (f *forwarder) run() error {
+	b := link.NewBatch(batchSize)
+	var o quiclb.Opener
+	for {
+		n, err := b.Read(f.port.socket.Batched)
+		if err != nil {
+			return err
+		}
+		v, now := f.view.Load(), uint32(time.Now().Unix())
+		for i := range n {
+			f.one(v, b, i, &o, now)
+		}
+		f.count.Lost.Add(uint64(b.Flush(f.link.Batched)))
+	}
+}
+
+func (f *forwarder) one(v *View, b *link.Batch, i int, o *quiclb.Opener, now uint32) {
+	var a Action
+	from := b.From(i)
+	v.Decide(f.port.id, b.Payload(i), o, &a)
+	f.record(&a, from)
+	if a.Verdict == VerdictDrop {
+		return
+	}
+	m := link.Message{Kind: link.KindForward, Service: f.port.id, Caller: from, Sent: now}
+	if a.Verdict == VerdictOpen {
+		m.Kind, m.Count, m.Candidates = link.KindOpen, a.Count, a.Candidates
+	}
+	v.links[0].Put(b.Header(i), &m)
+	b.SendWithHeader(i, a.Target())
+}
+
+// record counts the decision, and logs it unless it was a token's look-up.
+func (f *forwarder) record(a *Action, from netip.AddrPort) {
+	d := events.Decision{Reason: a.Reason, Service: f.port.id, Zone: a.Zone, Caller: from, Target: a.Target(), Flow: a.Flow}
+	switch a.Verdict {
+	case VerdictForward:
+		f.count.Forwarded.Add(1)
+		return
+	case VerdictOpen:
+		f.count.Opened.Add(1)
+		d.ID = events.FlowOpened
+	default:
+		f.count.Dropped.Add(1)
+		d.ID = events.FlowDropped
+		switch a.Reason {
+		case events.ReasonNoCandidate:
+			d.ID = events.FlowNoUpstream
+		case events.ReasonService:
+			f.count.Misrouted.Add(1)
+		case events.ReasonZoneOut:
+			f.count.ZoneOut.Add(1)
+		}
+	}
+	f.log.Decide(d)
+}
--- /dev/null
+++ b/balancer/options.go
@@ -0,0 +1,29 @@
+package balancer
+
+import (
+	"net/netip"
+
+	"pomeloway.example/pomeloway/process"
+)
+
+// Options are the settings of a balancer.
+type Options struct {
+	process.Options `embed:""`
+	// Bind takes the place of the service addresses' IP where several
+	// balancers share a host, as in a trial on loopback.
+	Bind netip.Addr `help:"Listen for callers on this IP instead of the services' own." env:"POMELOWAY_BIND" placeholder:"IP" group:"Addresses"`
+	// Forwarders is how many sockets share each service's address.
+	Forwarders int `help:"Sockets and threads for each service's address." default:"1" env:"POMELOWAY_FORWARDERS" group:"Work"`
+}
+
+// maxForwarders is far above the cores of an entry VM.
+const maxForwarders = 64
+
+// Validate returns all that is wrong with the settings.
+func (o *Options) Validate() error {
+	var f process.Faults
+	f.Err("settings", o.Options.Validate())
+	f.Want(o.Forwarders >= 0 && o.Forwarders <= maxForwarders, "--forwarders", "must be 1 to 64")
+	f.Want(!o.Bind.IsValid() || o.Bind.Is4(), "--bind", "must be an IPv4 address")
+	return f.All()
+}
--- /dev/null
+++ b/balancer/returner.go
@@ -0,0 +1,93 @@
+package balancer
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/link"
+)
+
+// returner carries agents' datagrams to callers, answers other observers'
+// heartbeats and hands the answers to its own to the observer.
+type returner struct {
+	link  *link.Socket
+	view  *atomic.Pointer[View]
+	ports *atomic.Pointer[portMap]
+	life  uint64
+	acks  chan<- ack
+	count *Counters
+
+	// out has a queue for each port; touched are those of the present batch.
+	out     map[*port]*link.Queue
+	touched []*port
+	reply   [link.HeaderSize]byte
+}
+
+type portMap map[bundle.ServiceID]*port
+
+// run returns datagrams until the link's socket is closed.
+func (r *returner) run() error {
+	b := link.NewBatch(batchSize)
+	r.out = map[*port]*link.Queue{}
+	for {
+		n, err := b.Read(r.link.Batched)
+		if err != nil {
+			return err
+		}
+		v, ports := r.view.Load(), *r.ports.Load()
+		for i := range n {
+			r.one(v, ports, b.Payload(i), b.From(i))
+		}
+		r.flush()
+		if len(r.out) > 2*len(ports) {
+			clear(r.out) // sockets of services that are gone
+		}
+	}
+}
+
+func (r *returner) flush() {
+	for _, p := range r.touched {
+		r.count.Lost.Add(uint64(r.out[p].Flush(p.socket.Batched)))
+	}
+	r.touched = r.touched[:0]
+}
+
+func (r *returner) one(v *View, ports portMap, p []byte, from netip.AddrPort) {
+	var m link.Message
+	payload, ok := v.links.Get(p, &m)
+	if !ok {
+		r.count.Refused.Add(1)
+		return
+	}
+	switch m.Kind {
+	case link.KindReturn:
+		r.deliver(ports[m.Service], payload, m.Caller)
+	case link.KindHeartbeat:
+		m.Kind, m.Number = link.KindHeartbeatAck, r.life
+		v.links[0].Put(r.reply[:], &m)
+		r.link.WriteToUDPAddrPort(r.reply[:], from)
+	case link.KindHeartbeatAck:
+		select {
+		case r.acks <- ack{from: from, life: m.Number, load: m.Load}:
+		default: // the next heartbeat asks again
+		}
+	}
+}
+
+func (r *returner) deliver(p *port, payload []byte, to netip.AddrPort) {
+	if p == nil || !to.Addr().Is4() || len(payload) == 0 {
+		r.count.Dropped.Add(1)
+		return
+	}
+	q := r.out[p]
+	if q == nil {
+		q = link.NewQueue(batchSize)
+		r.out[p] = q
+	}
+	if q.Len() == 0 {
+		r.touched = append(r.touched, p)
+	}
+	q.Send(payload, to)
+	r.count.Returned.Add(1)
+}
--- /dev/null
+++ b/bundle/check.go
@@ -0,0 +1,154 @@
+package bundle
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Bounds that the checks hold a bundle to.
+const (
+	maxSlots       = 10_000
+	maxConnections = 1_000_000
+	maxQueue       = 100_000
+	maxName        = 63
+	maxIdle        = 10 * time.Second
+)
+
+// check adds a finding for everything that decodes but cannot be served.
+func (d *decoder) check(b *Bundle) {
+	d.checkKeys(b)
+	d.checkZones(b)
+	d.checkServices(b)
+	d.checkTimeouts(b.Timeouts)
+}
+
+func (d *decoder) checkKeys(b *Bundle) {
+	seen := unique[KeyID]{d: d}
+	for n, k := range b.Keys {
+		p := fmt.Sprintf("keys[%d]", n)
+		seen.add(p+".id", k.ID, k.ID != 0)
+		if k.Fingerprint == "" {
+			d.add(p+".fingerprint", "is missing; `pomeloway key new` prints it")
+		}
+	}
+	if _, ok := seen.at[b.CurrentKey]; !ok {
+		d.add("currentKey", fmt.Sprintf("%d is not the id of any key", b.CurrentKey))
+	}
+	if len(b.Keys) > 2 {
+		d.add("keys", "has more than two keys; retire the oldest")
+	}
+}
+
+func (d *decoder) checkZones(b *Bundle) {
+	ids, names := unique[ZoneID]{d: d}, unique[Name]{d: d}
+	for n, z := range b.Zones {
+		p := fmt.Sprintf("zones[%d]", n)
+		ids.add(p+".id", z.ID, z.ID != 0)
+		names.add(p+".name", z.Name, d.nameOK(p+".name", z.Name))
+		if z.State == "" {
+			d.add(p+".state", "is missing; say in or out")
+		}
+	}
+	if len(b.Zones) == 0 {
+		d.add("zones", "names no availability zone")
+	}
+}
+
+func (d *decoder) checkServices(b *Bundle) {
+	ids, names, addrs := unique[ServiceID]{d: d}, unique[Name]{d: d}, unique[netip.AddrPort]{d: d}
+	for n := range b.Services {
+		s := &b.Services[n]
+		p := fmt.Sprintf("services[%d]", n)
+		ids.add(p+".id", s.ID, s.ID != 0)
+		names.add(p+".name", s.Name, d.nameOK(p+".name", s.Name))
+		addrs.add(p+".address", s.Address, s.Address.IsValid() && s.Address.Port() != 0)
+		if s.Protocol == "" {
+			d.add(p+".protocol", "is missing; say h3")
+		}
+		d.checkLimits(p+".upstreams", s.Upstreams)
+		d.checkRoutes(p, s.Routes)
+	}
+}
+
+func (d *decoder) checkLimits(p string, l Limits) {
+	d.within(p+".slots", l.Slots, 1, maxSlots)
+	d.within(p+".connections", l.Connections, 1, maxConnections)
+	d.within(p+".queue", l.Queue, 0, maxQueue)
+	if l.ShedStatus != 0 {
+		d.within(p+".shedStatus", l.ShedStatus, 400, 599)
+	}
+	d.within(p+".coldStart.slots", l.ColdStart.Slots, 1, max(l.Slots, 1))
+	d.within(p+".coldStart.answers", l.ColdStart.Answers, 1, maxQueue)
+}
+
+func (d *decoder) checkRoutes(p string, rs []Route) {
+	seen := unique[string]{d: d}
+	for n, r := range rs {
+		at := fmt.Sprintf("%s.routes[%d]", p, n)
+		seen.add(at+".prefix", r.Prefix, strings.HasPrefix(r.Prefix, "/"))
+		if r.Holds == "" {
+			d.add(at+".holds", "is missing; say slot or connection")
+		}
+	}
+}
+
+func (d *decoder) checkTimeouts(t Timeouts) {
+	all := map[string]time.Duration{
+		"request": t.Request, "queue": t.Queue, "keepAlive": t.KeepAlive,
+		"idle": t.Idle, "orderKey": t.OrderKey, "zoneOutRun": t.ZoneOutRun,
+	}
+	for _, name := range []string{"request", "queue", "keepAlive", "idle", "orderKey", "zoneOutRun"} {
+		if all[name] < 0 {
+			d.add("timeouts."+name, "is negative")
+		}
+	}
+	t = t.OrDefault()
+	if t.Idle > maxIdle {
+		d.add("timeouts.idle", fmt.Sprintf("%v is more than %v: a silent path would go unnoticed", t.Idle, maxIdle))
+	}
+	if t.KeepAlive*2 > t.Idle {
+		d.add("timeouts.keepAlive", fmt.Sprintf("%v is more than half of idle %v: one lost probe would close a flow", t.KeepAlive, t.Idle))
+	}
+}
+
+func (d *decoder) within(path string, v, low, high int) {
+	if v < low || v > high {
+		d.add(path, fmt.Sprintf("%d is not within %d and %d", v, low, high))
+	}
+}
+
+func (d *decoder) nameOK(path string, n Name) bool {
+	ok := n != "" && len(n) <= maxName
+	for _, r := range n {
+		ok = ok && (r == '-' || r >= 'a' && r <= 'z' || r >= '0' && r <= '9')
+	}
+	if !ok {
+		d.add(path, fmt.Sprintf("%q must be 1 to %d of a-z, 0-9 and -", n, maxName))
+	}
+	return ok
+}
+
+// unique finds the second use of an id, name or address.
+type unique[K comparable] struct {
+	d  *decoder
+	at map[K]string
+}
+
+func (u *unique[K]) add(path string, k K, valid bool) {
+	if !valid {
+		if _, ok := any(k).(Name); !ok {
+			u.d.add(path, fmt.Sprintf("%q is missing or not valid", fmt.Sprint(k)))
+		}
+		return
+	}
+	if first, ok := u.at[k]; ok {
+		u.d.add(path, fmt.Sprintf("%v is already used by %s", k, first))
+		return
+	}
+	if u.at == nil {
+		u.at = map[K]string{}
+	}
+	u.at[k] = path
+}
--- /dev/null
+++ b/bundle/decode.go
@@ -0,0 +1,177 @@
+// This file decodes a bundle's YAML. A plain strict decode stops at the first
+// fault, and operators want every fault at once, so the decoder walks the
+// parsed tree beside the Go types: a mapping against a struct's yaml tags, a
+// sequence against a slice, a scalar through the library. It costs one pass
+// over the tree; given up are anchors and merge keys, which bundles don't use.
+
+package bundle
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// MaxText is the largest bundle in bytes: the platform's value limit less room
+// for the signature and the envelope around it.
+const MaxText = 900_000
+
+// Decode reads a bundle and checks it. The error is of type Findings.
+func Decode(text []byte) (*Bundle, error) {
+	d := &decoder{places: map[string]place{}}
+	if len(text) > MaxText {
+		d.add("bundle", fmt.Sprintf("has %d bytes, more than %d; split the services over two fleets", len(text), MaxText))
+		return nil, d.found
+	}
+	f, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		d.syntax(err)
+		return nil, d.found
+	}
+	b := &Bundle{}
+	if len(f.Docs) != 1 || f.Docs[0].Body == nil {
+		d.add("bundle", "must be exactly one YAML document")
+		return nil, d.found
+	}
+	d.value("", f.Docs[0].Body, reflect.ValueOf(b).Elem())
+	d.check(b)
+	if len(d.found) > 0 {
+		return nil, d.found
+	}
+	return b, nil
+}
+
+type place struct{ line, column int }
+
+type decoder struct {
+	places map[string]place
+	found  Findings
+}
+
+// add records a finding at the path, or at its nearest parent that was seen.
+func (d *decoder) add(path, text string) {
+	at := place{line: 1, column: 1}
+	for p := path; p != ""; p = parent(p) {
+		if x, ok := d.places[p]; ok {
+			at = x
+			break
+		}
+	}
+	d.found = append(d.found, Finding{Line: at.line, Column: at.column, Path: path, Text: text})
+}
+
+func parent(path string) string {
+	i := strings.LastIndexAny(path, ".[")
+	if i < 0 {
+		return ""
+	}
+	return path[:i]
+}
+
+func (d *decoder) syntax(err error) {
+	var e yaml.Error
+	f := Finding{Line: 1, Column: 1, Path: "bundle", Text: err.Error()}
+	if errors.As(err, &e) {
+		f.Text = e.GetMessage()
+		if t := e.GetToken(); t != nil && t.Position != nil {
+			f.Line, f.Column = t.Position.Line, t.Position.Column
+		}
+	}
+	d.found = append(d.found, f)
+}
+
+func (d *decoder) note(path string, n ast.Node) {
+	if t := n.GetToken(); t != nil && t.Position != nil {
+		d.places[path] = place{t.Position.Line, t.Position.Column}
+	}
+}
+
+func (d *decoder) value(path string, n ast.Node, v reflect.Value) {
+	if path != "" {
+		if _, ok := d.places[path]; !ok {
+			d.note(path, n)
+		}
+	}
+	switch {
+	case v.Kind() == reflect.Struct && !isScalar(v):
+		d.fields(path, n, v)
+	case v.Kind() == reflect.Slice:
+		d.items(path, n, v)
+	default:
+		d.scalar(path, n, v)
+	}
+}
+
+func isScalar(v reflect.Value) bool {
+	_, ok := v.Addr().Interface().(interface{ UnmarshalText([]byte) error })
+	return ok
+}
+
+func (d *decoder) fields(path string, n ast.Node, v reflect.Value) {
+	byTag := map[string]reflect.Value{}
+	for i := range v.NumField() {
+		tag, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("yaml"), ",")
+		byTag[tag] = v.Field(i)
+	}
+	for _, m := range pairs(n) {
+		key := m.Key.GetToken().Value
+		at := key
+		if path != "" {
+			at = path + "." + key
+		}
+		d.note(at, m.Key)
+		f, ok := byTag[key]
+		if !ok {
+			d.add(at, "is an unknown field")
+			continue
+		}
+		d.value(at, m.Value, f)
+	}
+	if pairs(n) == nil {
+		d.add(path, "must be a mapping")
+	}
+}
+
+func pairs(n ast.Node) []*ast.MappingValueNode {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		return m.Values
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{m}
+	}
+	return nil
+}
+
+func (d *decoder) items(path string, n ast.Node, v reflect.Value) {
+	s, ok := n.(*ast.SequenceNode)
+	if !ok {
+		d.add(path, "must be a list")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values)))
+	for i, x := range s.Values {
+		d.value(fmt.Sprintf("%s[%d]", path, i), x, v.Index(i))
+	}
+}
+
+func (d *decoder) scalar(path string, n ast.Node, v reflect.Value) {
+	if _, ok := n.(ast.ScalarNode); !ok {
+		d.add(path, "must be a single value")
+		return
+	}
+	err := yaml.NodeToValue(n, v.Addr().Interface())
+	if err == nil {
+		return
+	}
+	var e yaml.Error
+	text := err.Error()
+	if errors.As(err, &e) {
+		text = e.GetMessage()
+	}
+	d.add(path, strings.ReplaceAll(text, "\n", " "))
+}
--- /dev/null
+++ b/demo/callers.go
@@ -0,0 +1,300 @@
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/agent"
+	"pomeloway.example/pomeloway/standin"
+)
+
+// Behaviour of callers.
+const (
+	thinkMost     = 60 * time.Millisecond
+	feedLinesMost = 120
+	feedLinesMin  = 20
+	feedEvery     = 100 * time.Millisecond
+	uploadMost    = 512 << 10
+	flowRequests  = 40
+	orderTries    = 6
+	reopenAfter   = 100 * time.Millisecond
+	// loseAnswers is how often, of ten, a caller asks again for an order that
+	// was answered, as if the answer had been lost.
+	loseAnswers = 2
+)
+
+// caller is one person at a screen.
+type caller struct {
+	s       *Site
+	rec     *recorder
+	rand    *rand.Rand
+	name    string
+	service int
+	n       int
+}
+
+// runCallers runs callers until the context ends; each ends what it began.
+func runCallers(ctx context.Context, s *Site, rec *recorder, count int, seed uint64) {
+	var w sync.WaitGroup
+	for i := range count {
+		c := &caller{s: s, rec: rec, rand: rand.New(rand.NewPCG(seed, uint64(i))), name: fmt.Sprintf("caller-%d", i)}
+		f := c.orders
+		switch {
+		case i%4 == 3:
+			c.service, f = uploadService(s.Deployment), c.uploads
+		case i%4 != 0:
+			f = c.feeds
+		}
+		w.Go(func() { f(ctx) })
+	}
+	w.Wait()
+}
+
+func uploadService(d Deployment) int {
+	for i, s := range d.Services {
+		if s.Upload {
+			return i
+		}
+	}
+	return 0
+}
+
+// open opens a flow, trying again until the context ends.
+func (c *caller) open(ctx context.Context) *flow {
+	for ctx.Err() == nil {
+		f, err := openFlow(ctx, c.s, c.rec, c.service)
+		if err == nil {
+			return f
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		c.openFailed(err)
+		pause(ctx, reopenAfter)
+	}
+	return nil
+}
+
+func (c *caller) openFailed(err error) {
+	var t *quic.TransportError
+	if errors.As(err, &t) && t.ErrorCode == quic.ConnectionRefused {
+		c.rec.do(func(r *Report) { r.FlowsRefused++ })
+		return
+	}
+	c.rec.cause("open: " + err.Error())
+	c.rec.do(func(r *Report) { r.FlowsFailedToOpen++ })
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (c *caller) think(ctx context.Context) {
+	pause(ctx, time.Duration(c.rand.Int64N(int64(thinkMost))))
+}
+
+// each opens flows and uses each for a while; use returns false when the flow
+// must be given up.
+func (c *caller) each(ctx context.Context, uses int, use func(*flow) bool) {
+	for ctx.Err() == nil {
+		f := c.open(ctx)
+		if f == nil {
+			return
+		}
+		for i := 0; i < uses && ctx.Err() == nil && use(f); i++ {
+			c.think(ctx)
+		}
+		f.close()
+	}
+}
+
+// feeds holds one feed after another, as a class or a trading desk does.
+func (c *caller) feeds(ctx context.Context) {
+	c.each(ctx, 3, func(f *flow) bool {
+		// A feed that has begun is read to its end, after the run's end too.
+		lines := feedLinesMin + c.rand.IntN(feedLinesMost-feedLinesMin)
+		err := f.feed(context.Background(), c.name, lines, feedEvery)
+		return c.went(context.Background(), f, err, "feed")
+	})
+}
+
+// went counts a failure and reports whether the flow can be used on.
+func (c *caller) went(ctx context.Context, f *flow, err error, what string) bool {
+	if err != nil {
+		f.note(f.classify(ctx, err), err, what)
+	}
+	return err == nil
+}
+
+// orders looks at the screen and places orders.
+func (c *caller) orders(ctx context.Context) {
+	c.each(ctx, flowRequests, func(f *flow) bool {
+		if c.rand.IntN(2) == 0 {
+			return c.screen(f)
+		}
+		return c.order(f)
+	})
+}
+
+func (c *caller) screen(f *flow) bool {
+	start := time.Now()
+	r, err := f.do(context.Background(), http.MethodGet, "/screen?caller="+c.name, nil, "")
+	c.finish(r, err, start, func(p standin.Reply) bool { return p.Caller == c.name })
+	return c.went(context.Background(), f, err, "screen")
+}
+
+// finish checks and counts a request's answer.
+func (c *caller) finish(r *result, err error, start time.Time, right func(standin.Reply) bool) {
+	switch {
+	case err != nil:
+		c.rec.request(time.Since(start), false)
+	case r.status == http.StatusOK:
+		var p standin.Reply
+		wrong := json.Unmarshal(r.body, &p) != nil || p.Service != string(c.s.Deployment.Services[c.service].Name) || !right(p)
+		c.rec.request(time.Since(start), true)
+		if wrong {
+			c.rec.do(func(r *Report) { r.RequestsWrong++ })
+		}
+	default:
+		c.rec.request(time.Since(start), false)
+		c.rec.do(func(x *Report) {
+			if r.outcome == agent.OutcomeNotRun {
+				x.RequestsRefused++
+			} else {
+				x.RequestsUnknown++
+			}
+		})
+		if r.outcome != agent.OutcomeNotRun {
+			c.rec.cause(fmt.Sprintf("unknown: %s", r.body))
+		}
+	}
+}
+
+// order places one order under a key, and asks again under the same key while
+// its outcome is not known, now and then although it is.
+func (c *caller) order(f *flow) bool {
+	c.n++
+	id := fmt.Sprintf("%s-%d", c.name, c.n)
+	ctx := context.Background()
+	key, err := c.key(ctx, f)
+	if err != nil || key == "" {
+		return c.went(ctx, f, err, "key") && err == nil
+	}
+	start := time.Now()
+	ok, usable := c.place(ctx, f, id, key)
+	if ok && c.rand.IntN(10) < loseAnswers {
+		c.again(ctx, id, key)
+	}
+	c.rec.request(time.Since(start), ok)
+	return usable
+}
+
+func (c *caller) key(ctx context.Context, f *flow) (string, error) {
+	r, err := f.do(ctx, http.MethodPost, agent.PathKey, nil, "")
+	if err != nil || r.status != http.StatusOK {
+		return "", err
+	}
+	var k agent.IssuedKey
+	return k.Key, eris.Wrap(json.Unmarshal(r.body, &k), "key")
+}
+
+// place sends the order until it is answered or refused; it reports whether it
+// was answered and whether the flow can be used on.
+func (c *caller) place(ctx context.Context, f *flow, id, key string) (ok, usable bool) {
+	own := f
+	defer func() {
+		if f != own {
+			f.close()
+		}
+	}()
+	for try := 0; try < orderTries; try++ {
+		r, err := f.do(ctx, http.MethodPost, "/order?caller="+c.name, []byte(id), key)
+		switch {
+		case err != nil:
+			c.went(ctx, f, err, "order")
+			if f != own {
+				f.close()
+			}
+			if f = c.open(ctx); f == nil {
+				return false, false
+			}
+		case r.status == http.StatusOK:
+			return c.checkOrder(r, id), f == own
+		case r.outcome == agent.OutcomeNotRun:
+			c.rec.do(func(x *Report) {
+				x.RequestsRefused++
+				if c.s.Ledger.Runs(id) > 0 {
+					x.RefusedButRun++
+				}
+			})
+			pause(ctx, r.retry/4)
+		default:
+			c.rec.do(func(x *Report) { x.RequestsUnknown++ })
+			c.rec.cause(fmt.Sprintf("order unknown: %s", r.body))
+			pause(ctx, reopenAfter)
+		}
+	}
+	return false, f == own
+}
+
+func (c *caller) checkOrder(r *result, id string) bool {
+	var p standin.Reply
+	if json.Unmarshal(r.body, &p) != nil || p.Order != id || p.Caller != c.name {
+		c.rec.do(func(r *Report) { r.RequestsWrong++ })
+	}
+	return true
+}
+
+// again asks for an answered order on a new flow: it must be repeated, not run.
+func (c *caller) again(ctx context.Context, id, key string) {
+	f := c.open(ctx)
+	if f == nil {
+		return
+	}
+	defer f.close()
+	r, err := f.do(ctx, http.MethodPost, "/order?caller="+c.name, []byte(id), key)
+	if err != nil {
+		c.went(ctx, f, err, "order again")
+		return
+	}
+	c.rec.do(func(x *Report) { x.OrdersRepeated++ })
+	if r.status == http.StatusOK {
+		c.checkOrder(r, id)
+	} else if r.outcome == agent.OutcomeNotRun {
+		// The order did run: a refusal that says otherwise is false.
+		c.rec.do(func(x *Report) { x.RefusedButRun++ })
+	}
+}
+
+// uploads sends scans or schedules.
+func (c *caller) uploads(ctx context.Context) {
+	c.each(ctx, 5, func(f *flow) bool {
+		b := make([]byte, 1+c.rand.IntN(uploadMost))
+		for i := range b {
+			b[i] = byte(c.rand.Uint32())
+		}
+		sum := sha256.Sum256(b)
+		start := time.Now()
+		r, err := f.do(context.Background(), http.MethodPost, "/upload?caller="+c.name, b, "")
+		c.finish(r, err, start, func(p standin.Reply) bool {
+			return p.Caller == c.name && p.SHA256 == hex.EncodeToString(sum[:])
+		})
+		return c.went(context.Background(), f, err, "upload")
+	})
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,141 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/guard"
+)
+
+// ErrBroken says that the run broke an invariant; the report lists which.
+var ErrBroken = errors.New("an invariant broke; see \"broken\" in the report")
+
+const startTimeout = 20 * time.Second
+
+// Run runs a demo and writes its report.
+func Run(ctx context.Context, o Options, progress, out io.Writer) error {
+	log, done, err := openLog(o.Log)
+	if err != nil {
+		return err
+	}
+	defer done()
+	s, err := NewSite(Deployments[o.Deployment], log, guard.Without(o.Sabotage))
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	start, stop := context.WithTimeout(ctx, startTimeout)
+	defer stop()
+	if err := s.Start(start); err != nil {
+		return err
+	}
+	rec := newRecorder()
+	p := newProgress(progress, rec, o.Duration)
+	rep, err := play(ctx, s, rec, p, o)
+	if err != nil {
+		return err
+	}
+	if err := writeReport(rep, o.Report, out); err != nil {
+		return err
+	}
+	if len(rep.Broken) > 0 {
+		return ErrBroken
+	}
+	return nil
+}
+
+// play runs callers and the script together and judges what was measured.
+func play(ctx context.Context, s *Site, rec *recorder, p *progress, o Options) (*Report, error) {
+	began := time.Now()
+	run, stop := context.WithTimeout(ctx, o.Duration)
+	defer stop()
+	x := &script{s: s, rec: rec, log: p.say}
+	var w sync.WaitGroup
+	var failed error
+	w.Go(func() { runCallers(run, s, rec, o.Callers, o.Seed) })
+	w.Go(func() { failed = x.run(run, o.Duration) })
+	w.Go(func() { s.watchShares(run, rec) })
+	w.Go(func() { p.run(run) })
+	w.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	r := rec.report(x.moveFrom, x.moveTo)
+	r.Deployment, r.Seed, r.Sabotage, r.Seconds = o.Deployment, o.Seed, string(o.Sabotage), time.Since(began).Seconds()
+	s.measure(&r, x)
+	r.judge()
+	return &r, nil
+}
+
+// sampleEvery is how often the callers' flows are counted for each upstream.
+const sampleEvery = 500 * time.Millisecond
+
+// watchShares samples how flows spread over the upstreams that take new ones.
+func (s *Site) watchShares(ctx context.Context, rec *recorder) {
+	for ctx.Err() == nil {
+		pause(ctx, sampleEvery)
+		rec.sampleShares(s.takers())
+	}
+}
+
+// takers returns the agents that take new flows, by service.
+func (s *Site) takers() map[string][]string {
+	out := map[string][]string{}
+	for _, u := range s.Units() {
+		if !s.wasOut(u.zone) {
+			out[u.Service] = append(out[u.Service], string(u.agent.Node.Self().ID))
+		}
+	}
+	return out
+}
+
+// measure adds what the upstreams and the platform saw.
+func (s *Site) measure(r *Report, x *script) {
+	r.RunTwice = s.Ledger.Twice()
+	for _, u := range s.all() {
+		r.Misrouted += int(u.Misrouted.Load())
+		r.OverSlots += int(u.OverSlots.Load())
+		r.OverCold += int(u.OverWarned.Load())
+		r.OverColdUnwarned += int(u.OverCold.Load() - u.OverWarned.Load())
+	}
+	if x.drained != nil {
+		if t := time.Unix(0, x.drained.LastWork.Load()); t.After(x.leftAt) {
+			r.NewWorkAfterLeaving = t.Sub(x.leftAt).Seconds()
+		}
+	}
+	c := s.Platform.Counts()
+	r.PlatformReads, r.PlatformWrites = c.Reads, c.Writes
+}
+
+func writeReport(r *Report, to string, out io.Writer) error {
+	switch to {
+	case "":
+		return nil
+	case "-":
+		return r.write(out)
+	}
+	f, err := os.Create(to)
+	if err != nil {
+		return eris.Wrap(err, "--report")
+	}
+	defer f.Close()
+	return r.write(f)
+}
+
+func openLog(name string) (*slog.Logger, func(), error) {
+	if name == "" {
+		return slog.New(slog.DiscardHandler), func() {}, nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "--log")
+	}
+	return slog.New(slog.NewJSONHandler(f, nil)), func() { f.Close() }, nil
+}
--- /dev/null
+++ b/demo/flow.go
@@ -0,0 +1,221 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/agent"
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/standin"
+)
+
+// Settings of callers' flows: they find a silent path as fast as the agents.
+const (
+	callerIdle      = 8 * time.Second
+	callerKeepAlive = 2 * time.Second
+	openTimeout     = 6 * time.Second
+	requestTimeout  = 20 * time.Second
+)
+
+// flow is one caller's QUIC connection to a service.
+type flow struct {
+	s       *Site
+	rec     *recorder
+	service int
+	conn    *quic.Conn
+	h3      *http3.ClientConn
+	tr      *quic.Transport
+	socket  *net.UDPConn
+	zone    atomic.Int32
+	at      atomic.Pointer[string]
+	counted bool
+}
+
+// openFlow opens a flow, or tells why not.
+func openFlow(ctx context.Context, s *Site, rec *recorder, service int) (*flow, error) {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	f := &flow{s: s, rec: rec, service: service, socket: c, tr: &quic.Transport{Conn: c}}
+	ctx, stop := context.WithTimeout(ctx, openTimeout)
+	defer stop()
+	f.conn, err = f.tr.Dial(ctx, net.UDPAddrFromAddrPort(s.ServiceAddress(service)), s.callers, &quic.Config{
+		MaxIdleTimeout: callerIdle, KeepAlivePeriod: callerKeepAlive, HandshakeIdleTimeout: openTimeout,
+	})
+	if err != nil {
+		f.close()
+		return nil, err
+	}
+	f.h3 = (&http3.Transport{}).NewClientConn(f.conn)
+	rec.do(func(r *Report) { r.FlowsOpened++ })
+	return f, nil
+}
+
+func (f *flow) close() {
+	if f.conn != nil {
+		f.conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+	}
+	if p := f.at.Load(); p != nil {
+		f.rec.flow(f.name(), *p, -1)
+	}
+	f.tr.Close()
+	f.socket.Close()
+}
+
+func (f *flow) name() string { return string(f.s.Deployment.Services[f.service].Name) }
+
+// result is what came of a request.
+type result struct {
+	status  int
+	outcome agent.Outcome
+	body    []byte
+	header  http.Header
+	retry   time.Duration
+}
+
+// do makes a request and reads its answer whole.
+func (f *flow) do(ctx context.Context, method, path string, body []byte, key string) (*result, error) {
+	ctx, stop := context.WithTimeout(ctx, requestTimeout)
+	defer stop()
+	a, err := f.send(ctx, method, path, body, key)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return nil, err
+	}
+	s, _ := strconv.Atoi(a.Header.Get("Retry-After"))
+	return &result{a.StatusCode, agent.Outcome(a.Header.Get(agent.HeaderOutcome)), b, a.Header, time.Duration(s) * time.Second}, nil
+}
+
+func (f *flow) send(ctx context.Context, method, path string, body []byte, key string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "https://"+callerName+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Want-Service", f.name())
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	a, err := f.h3.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if z, err := strconv.Atoi(a.Header.Get(agent.HeaderZone)); err == nil {
+		f.zone.Store(int32(z))
+	}
+	f.place(a.Header.Get(agent.HeaderAgent))
+	return a, nil
+}
+
+// place counts the flow at its agent, once.
+func (f *flow) place(at string) {
+	if at != "" && !f.counted {
+		f.counted = true
+		f.at.Store(&at)
+		f.rec.flow(f.name(), at, 1)
+	}
+}
+
+// fault is how a request failed.
+type fault uint8
+
+const (
+	// faultFlow: the flow broke under the request.
+	faultFlow fault = iota
+	// faultZone: the flow was given up with its availability zone.
+	faultZone
+	// faultUpstream: the flow's VM was killed by the script.
+	faultUpstream
+	// faultMoved: the agent asked for a new flow before it took the request.
+	faultMoved
+	// faultTime: the caller itself gave up.
+	faultTime
+)
+
+// classify tells why a request failed.
+func (f *flow) classify(ctx context.Context, err error) fault {
+	var app *quic.ApplicationError
+	var h *http3.Error
+	switch {
+	case ctx.Err() != nil:
+		return faultTime
+	case errors.As(err, &h) && h.ErrorCode == http3.ErrCodeRequestRejected:
+		return faultMoved
+	case errors.As(err, &app) && strings.Contains(app.ErrorMessage, "zone out"):
+		return faultZone
+	case f.s.wasOut(bundle.ZoneID(f.zone.Load())):
+		return faultZone
+	case strings.Contains(err.Error(), "graceful shutdown"):
+		return faultMoved
+	case errors.As(err, &h) && !h.Remote && h.ErrorCode == http3.ErrCodeNoError:
+		return faultMoved
+	}
+	if p := f.at.Load(); p != nil && f.s.wasKilled(*p) {
+		return faultUpstream
+	}
+	return faultFlow
+}
+
+// note counts a fault; it returns whether the flow must be opened anew.
+func (f *flow) note(x fault, err error, what string) {
+	switch x {
+	case faultFlow:
+		f.rec.cause(fmt.Sprintf("%s: %v", what, eris.Cause(err)))
+		f.rec.do(func(r *Report) { r.BrokenFlows++ })
+	case faultZone:
+		f.rec.do(func(r *Report) { r.FlowsGivenUpWithZone++ })
+	case faultUpstream:
+		f.rec.do(func(r *Report) { r.FlowsLostWithUpstream++ })
+	}
+}
+
+// feed reads a feed to its last line.
+func (f *flow) feed(ctx context.Context, me string, lines int, every time.Duration) error {
+	a, err := f.send(ctx, http.MethodGet, fmt.Sprintf("/feed?caller=%s&lines=%d&every=%s", me, lines, every), nil, "")
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		f.rec.do(func(r *Report) { r.RequestsRefused++ })
+		return nil
+	}
+	d := json.NewDecoder(a.Body)
+	for seq := 1; ; seq++ {
+		var l standin.Line
+		if err := d.Decode(&l); err != nil {
+			return eris.Wrapf(err, "feed after %d of %d lines", seq-1, lines)
+		}
+		wrong := l.Seq != seq || l.Caller != me || l.Service != f.name()
+		f.rec.do(func(r *Report) {
+			r.FeedLines++
+			if wrong {
+				r.RequestsWrong++
+			}
+			if l.Last {
+				r.FeedsWhole++
+			}
+		})
+		if l.Last {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/demo/options.go
@@ -0,0 +1,40 @@
+package demo
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/process"
+)
+
+// Options are the settings of a demo.
+type Options struct {
+	Deployment string        `help:"Site to run: agency or saltbush." default:"agency" env:"POMELOWAY_DEPLOYMENT" group:"Run"`
+	Duration   time.Duration `help:"Length of the run." default:"60s" env:"POMELOWAY_DURATION" group:"Run"`
+	Seed       uint64        `help:"Seed of the callers' choices." default:"1" env:"POMELOWAY_SEED" group:"Run"`
+	Callers    int           `help:"How many callers there are." default:"100" env:"POMELOWAY_CALLERS" group:"Run"`
+	Report     string        `help:"File for the JSON report, - for standard output." placeholder:"FILE" env:"POMELOWAY_REPORT" group:"Output"`
+	Sabotage   guard.Name    `help:"Guard to switch off; the report must show it." placeholder:"NAME" env:"POMELOWAY_SABOTAGE" group:"Run"`
+	Log        string        `help:"File for the log lines of every part." placeholder:"FILE" env:"POMELOWAY_LOG" group:"Output"`
+}
+
+// Bounds of the settings.
+const (
+	minDuration = 10 * time.Second
+	maxCallers  = 5000
+)
+
+// Validate returns all that is wrong with the settings.
+func (o *Options) Validate() error {
+	var f process.Faults
+	_, ok := Deployments[o.Deployment]
+	f.Want(ok, "--deployment", "must be one of "+strings.Join(slices.Sorted(maps.Keys(Deployments)), ", "))
+	f.Want(o.Duration >= minDuration, "--duration", fmt.Sprintf("must be at least %v", minDuration))
+	f.Want(o.Callers > 0 && o.Callers <= maxCallers, "--callers", fmt.Sprintf("must be 1 to %d", maxCallers))
+	f.Want(o.Sabotage == "" || guard.Known(o.Sabotage), "--sabotage", fmt.Sprintf("must be one of %v", guard.Names()))
+	return f.All()
+}
--- /dev/null
+++ b/demo/progress.go
@@ -0,0 +1,68 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+)
+
+// progress shows how a run goes on: one line that is redrawn on a terminal, a
+// line for each step elsewhere.
+type progress struct {
+	w     io.Writer
+	live  bool
+	rec   *recorder
+	start time.Time
+	total time.Duration
+	last  string
+}
+
+func newProgress(w io.Writer, rec *recorder, total time.Duration) *progress {
+	p := &progress{w: w, rec: rec, start: time.Now(), total: total, last: "everything runs"}
+	if f, ok := w.(*os.File); ok {
+		i, err := f.Stat()
+		p.live = err == nil && i.Mode()&os.ModeCharDevice != 0
+	}
+	return p
+}
+
+const redraw = 200 * time.Millisecond
+
+// say tells what happens now.
+func (p *progress) say(text string) {
+	p.rec.mu.Lock()
+	p.last = text
+	p.rec.mu.Unlock()
+	fmt.Fprintf(p.w, "%s%5.1fs  %s\n", p.clear(), time.Since(p.start).Seconds(), text)
+}
+
+func (p *progress) clear() string {
+	if p.live {
+		return "\r\x1b[K"
+	}
+	return ""
+}
+
+// run redraws until the run ends.
+func (p *progress) run(ctx context.Context) {
+	for p.live && ctx.Err() == nil {
+		pause(ctx, redraw)
+		p.draw()
+	}
+	fmt.Fprintf(p.w, "%s%5.1fs  callers end what they began\n", p.clear(), time.Since(p.start).Seconds())
+}
+
+const barWidth = 24
+
+func (p *progress) draw() {
+	p.rec.mu.Lock()
+	r, last := p.rec.r, p.last
+	p.rec.mu.Unlock()
+	done := min(barWidth, int(float64(barWidth)*float64(time.Since(p.start))/float64(p.total)))
+	fmt.Fprintf(p.w, "%s[%s%s] flows %d, broken %d | answered %d, refused %d, unknown %d | feed lines %d | %s",
+		p.clear(), strings.Repeat("#", done), strings.Repeat(".", barWidth-done),
+		r.FlowsOpened, r.BrokenFlows, r.RequestsAnswered, r.RequestsRefused, r.RequestsUnknown, r.FeedLines, last)
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,203 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Report is what callers and upstreams measured. Nothing in it is taken from
+// what balancers or agents believe.
+type Report struct {
+	Deployment            string             `json:"deployment"`
+	Seconds               float64            `json:"seconds"`
+	Seed                  uint64             `json:"seed"`
+	Sabotage              string             `json:"sabotage,omitempty"`
+	FlowsOpened           int                `json:"flowsOpened"`
+	FlowsRefused          int                `json:"flowsRefused"`
+	FlowsFailedToOpen     int                `json:"flowsFailedToOpen"`
+	BrokenFlows           int                `json:"brokenFlows"`
+	FlowsGivenUpWithZone  int                `json:"flowsGivenUpWithZone"`
+	FlowsLostWithUpstream int                `json:"flowsLostWithUpstream"`
+	FeedLines             int                `json:"feedLines"`
+	FeedsWhole            int                `json:"feedsWhole"`
+	RequestsAnswered      int                `json:"requestsAnswered"`
+	RequestsRefused       int                `json:"requestsRefused"`
+	RequestsUnknown       int                `json:"requestsUnknown"`
+	RequestsWrong         int                `json:"requestsWrong"`
+	RefusedButRun         int                `json:"refusedButRun"`
+	RunTwice              int                `json:"runTwice"`
+	OrdersRepeated        int                `json:"ordersRepeated"`
+	Misrouted             int                `json:"misrouted"`
+	OverSlots             int                `json:"overSlots"`
+	OverCold              int                `json:"overCold"`
+	OverColdUnwarned      int                `json:"overColdUnwarned"`
+	NewWorkAfterLeaving   float64            `json:"newWorkAfterLeavingSeconds"`
+	Imbalance             map[string]float64 `json:"imbalance"`
+	ZoneOutSeconds        float64            `json:"zoneOutSeconds"`
+	BundleInForceSeconds  float64            `json:"bundleInForceSeconds"`
+	MoveAnsweredShare     float64            `json:"moveAnsweredShare"`
+	MoveP99Seconds        float64            `json:"moveP99Seconds"`
+	P50Seconds            float64            `json:"p50Seconds"`
+	P99Seconds            float64            `json:"p99Seconds"`
+	PlatformReads         uint64             `json:"platformReads"`
+	PlatformWrites        uint64             `json:"platformWrites"`
+	Broken                []string           `json:"broken"`
+	Causes                map[string]int     `json:"causes,omitempty"`
+}
+
+// Limits that an invariant of the report is held to.
+const (
+	zoneOutLimit    = 5.0
+	inForceLimit    = 19.0
+	newWorkLimit    = 3.0
+	flowsFailedMost = 0
+)
+
+// judge lists the invariants that the run broke.
+func (r *Report) judge() {
+	r.Broken = []string{}
+	add := func(broken bool, text string, v any) {
+		if broken {
+			r.Broken = append(r.Broken, fmt.Sprintf("%s: %v", text, v))
+		}
+	}
+	add(r.BrokenFlows > 0, "flows broke", r.BrokenFlows)
+	add(r.RequestsWrong > 0, "requests got a wrong answer", r.RequestsWrong)
+	add(r.RefusedButRun > 0, "refused as not run, but run", r.RefusedButRun)
+	add(r.RunTwice > 0, "orders run twice", r.RunTwice)
+	add(r.Misrouted > 0, "requests reached another service", r.Misrouted)
+	add(r.OverSlots > 0, "work beyond an upstream's slots", r.OverSlots)
+	add(r.OverCold > 0, "work beyond what a cold upstream bears", r.OverCold)
+	add(r.ZoneOutSeconds > zoneOutLimit, "zone that is out still served, seconds", r.ZoneOutSeconds)
+	add(r.BundleInForceSeconds > inForceLimit, "bundle in force late, seconds", r.BundleInForceSeconds)
+	add(r.NewWorkAfterLeaving > newWorkLimit, "leaving upstream got new work, seconds", r.NewWorkAfterLeaving)
+	add(r.FlowsFailedToOpen > flowsFailedMost, "flows failed to open", r.FlowsFailedToOpen)
+	add(r.RequestsAnswered == 0, "no request was answered", r.RequestsAnswered)
+}
+
+// write writes the report as one JSON object.
+func (r *Report) write(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// recorder collects what callers see.
+type recorder struct {
+	mu     sync.Mutex
+	r      Report
+	took   []sample
+	flows  map[string]map[string]int // open flows by service and upstream
+	shares map[string][]float64
+	causes map[string]int
+}
+
+// sample is one finished request.
+type sample struct {
+	at       time.Time
+	took     time.Duration
+	answered bool
+}
+
+func newRecorder() *recorder {
+	return &recorder{flows: map[string]map[string]int{}, shares: map[string][]float64{}, causes: map[string]int{}}
+}
+
+// do changes the report under the lock.
+func (r *recorder) do(f func(*Report)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.r)
+}
+
+func (r *recorder) cause(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.causes[text]++
+}
+
+// request notes a request's end.
+func (r *recorder) request(took time.Duration, answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.took = append(r.took, sample{time.Now(), took, answered})
+	if answered {
+		r.r.RequestsAnswered++
+	}
+}
+
+// flow counts the open flows that callers found at an upstream.
+func (r *recorder) flow(service, up string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.flows[service]
+	if m == nil {
+		m = map[string]int{}
+		r.flows[service] = m
+	}
+	m[up] += n
+}
+
+// minFlows is how many flows for each upstream make a share worth sampling.
+const minFlows = 4
+
+// sampleShares notes the busiest upstream over the mean, among those given.
+func (r *recorder) sampleShares(ups map[string][]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for svc, names := range ups {
+		most, sum := 0, 0
+		for _, n := range names {
+			c := r.flows[svc][n]
+			most, sum = max(most, c), sum+c
+		}
+		if len(names) > 0 && sum >= minFlows*len(names) {
+			r.shares[svc] = append(r.shares[svc], float64(most)*float64(len(names))/float64(sum))
+		}
+	}
+}
+
+// report returns the finished report.
+func (r *recorder) report(from, to time.Time) Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.r
+	out.Causes = r.causes
+	out.Imbalance = map[string]float64{}
+	for s, x := range r.shares {
+		slices.Sort(x)
+		out.Imbalance[s] = x[len(x)/2]
+	}
+	var all, move []time.Duration
+	asked, got := 0, 0
+	for _, s := range r.took {
+		if s.answered {
+			all = append(all, s.took)
+		}
+		if s.at.After(from) && s.at.Before(to) {
+			asked++
+			if s.answered {
+				got++
+				move = append(move, s.took)
+			}
+		}
+	}
+	out.P50Seconds, out.P99Seconds = quantile(all, 0.5), quantile(all, 0.99)
+	out.MoveP99Seconds = quantile(move, 0.99)
+	if asked > 0 {
+		out.MoveAnsweredShare = float64(got) / float64(asked)
+	}
+	return out
+}
+
+func quantile(d []time.Duration, q float64) float64 {
+	if len(d) == 0 {
+		return 0
+	}
+	slices.Sort(d)
+	return d[int(q*float64(len(d)-1))].Seconds()
+}
--- /dev/null
+++ b/events/events.go
@@ -0,0 +1,107 @@
+// Package events is the catalogue of everything that pomeloway logs: numbered
+// events with their level, and the ring that carries the decisions of the hot
+// path to the log. docs/EVENTS.md explains each to operators.
+package events
+
+import "log/slog"
+
+// ID is the number of an event; it never changes its meaning.
+type ID int
+
+// Events. The first digit tells the part: 1 flows, 2 requests, 3 members,
+// 4 bundles and zones, 5 links and platform, 6 programs.
+const (
+	FlowOpened      ID = 1001
+	FlowPassed      ID = 1002
+	FlowRefused     ID = 1003
+	FlowNoUpstream  ID = 1004
+	FlowDropped     ID = 1005
+	FlowClosed      ID = 1006
+	FlowBalancer    ID = 1007
+	RequestPlaced   ID = 2001
+	RequestPassed   ID = 2002
+	RequestRefused  ID = 2003
+	RequestUnknown  ID = 2004
+	RequestReplayed ID = 2005
+	RequestToHome   ID = 2006
+	AnswerDropped   ID = 2007
+	UpstreamCold    ID = 2101
+	UpstreamWarm    ID = 2102
+	MemberJoined    ID = 3001
+	MemberChanged   ID = 3002
+	MemberDoubted   ID = 3003
+	MemberCleared   ID = 3004
+	MemberRemoved   ID = 3005
+	BundleInForce   ID = 4001
+	BundleRefused   ID = 4002
+	ZoneOut         ID = 4003
+	ZoneIn          ID = 4004
+	LinkRefused     ID = 5001
+	PlatformDown    ID = 5002
+	PlatformUp      ID = 5003
+	PeerDown        ID = 5004
+	DecisionsLost   ID = 5005
+	Started         ID = 6001
+	Draining        ID = 6002
+	Stopped         ID = 6003
+)
+
+// Entry is one line of the catalogue.
+type Entry struct {
+	ID    ID
+	Name  string
+	Level slog.Level
+}
+
+// Catalogue lists every event.
+var Catalogue = []Entry{
+	{FlowOpened, "flow opened", slog.LevelInfo},
+	{FlowPassed, "opening passed on", slog.LevelInfo},
+	{FlowRefused, "opening refused", slog.LevelWarn},
+	{FlowNoUpstream, "opening without upstream", slog.LevelWarn},
+	{FlowDropped, "datagram dropped", slog.LevelWarn},
+	{FlowClosed, "flow closed", slog.LevelInfo},
+	{FlowBalancer, "return path moved", slog.LevelInfo},
+	{RequestPlaced, "request placed", slog.LevelInfo},
+	{RequestPassed, "request passed on", slog.LevelInfo},
+	{RequestRefused, "request refused", slog.LevelWarn},
+	{RequestUnknown, "request outcome unknown", slog.LevelWarn},
+	{RequestReplayed, "recorded answer repeated", slog.LevelInfo},
+	{RequestToHome, "request sent to its key's home", slog.LevelInfo},
+	{AnswerDropped, "answer dropped", slog.LevelWarn},
+	{UpstreamCold, "upstream found cold", slog.LevelWarn},
+	{UpstreamWarm, "upstream fully warm", slog.LevelInfo},
+	{MemberJoined, "member joined", slog.LevelInfo},
+	{MemberChanged, "member changed", slog.LevelInfo},
+	{MemberDoubted, "member doubted", slog.LevelWarn},
+	{MemberCleared, "member cleared of doubt", slog.LevelInfo},
+	{MemberRemoved, "dead member removed", slog.LevelWarn},
+	{BundleInForce, "bundle in force", slog.LevelInfo},
+	{BundleRefused, "bundle refused", slog.LevelError},
+	{ZoneOut, "availability zone out", slog.LevelWarn},
+	{ZoneIn, "availability zone in", slog.LevelInfo},
+	{LinkRefused, "message of unknown sender", slog.LevelWarn},
+	{PlatformDown, "platform not answering", slog.LevelWarn},
+	{PlatformUp, "platform answering again", slog.LevelInfo},
+	{PeerDown, "peer not answering", slog.LevelWarn},
+	{DecisionsLost, "decision lines lost", slog.LevelError},
+	{Started, "program started", slog.LevelInfo},
+	{Draining, "program draining", slog.LevelInfo},
+	{Stopped, "program stopped", slog.LevelInfo},
+}
+
+var byID = index()
+
+func index() map[ID]Entry {
+	m := make(map[ID]Entry, len(Catalogue))
+	for _, e := range Catalogue {
+		m[e.ID] = e
+	}
+	return m
+}
+
+// Lookup returns the catalogue's entry of the event.
+func Lookup(id ID) (Entry, bool) {
+	e, ok := byID[id]
+	return e, ok
+}
--- /dev/null
+++ b/events/log.go
@@ -0,0 +1,136 @@
+package events
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"pomeloway.example/pomeloway/bundle"
+)
+
+// Log writes numbered events. Its zero value writes nothing.
+type Log struct {
+	l    *slog.Logger
+	ring chan Decision
+	lost atomic.Uint64
+}
+
+// ringSize bounds the decisions that wait to be written: about half a second of
+// openings of a large balancer. A full ring loses the newest and counts it.
+const ringSize = 16_384
+
+// NewLog returns a Log over the slog logger.
+func NewLog(l *slog.Logger) *Log {
+	return &Log{l: l, ring: make(chan Decision, ringSize)}
+}
+
+// Add writes an event at its level.
+func (l *Log) Add(id ID, attrs ...slog.Attr) {
+	if l == nil || l.l == nil {
+		return
+	}
+	e := byID[id]
+	if !l.l.Enabled(context.Background(), e.Level) {
+		return
+	}
+	a := append([]slog.Attr{slog.Int("event", int(id))}, attrs...)
+	l.l.LogAttrs(context.Background(), e.Level, e.Name, a...)
+}
+
+// Reason is why a decision fell the way it did.
+type Reason string
+
+// Reasons of flow decisions.
+const (
+	ReasonFirst       Reason = "firstChoice"
+	ReasonNext        Reason = "nextChoice"
+	ReasonOwned       Reason = "alreadyOwned"
+	ReasonFull        Reason = "full"
+	ReasonLeaving     Reason = "leaving"
+	ReasonCold        Reason = "cold"
+	ReasonBusier      Reason = "busierThanNext"
+	ReasonZoneOut     Reason = "zoneOut"
+	ReasonService     Reason = "wrongService"
+	ReasonNotQUIC     Reason = "notQUIC"
+	ReasonBadToken    Reason = "unknownToken"
+	ReasonTooLong     Reason = "tooLong"
+	ReasonNoCandidate Reason = "noCandidate"
+)
+
+// Decision is one routing decision of the hot path, of fixed size.
+type Decision struct {
+	ID      ID
+	Reason  Reason
+	Service bundle.ServiceID
+	Zone    bundle.ZoneID
+	Caller  netip.AddrPort
+	Target  netip.AddrPort
+	Flow    uint64
+}
+
+// Decide hands a decision to the writer and never waits.
+func (l *Log) Decide(d Decision) {
+	if l == nil || l.l == nil {
+		return
+	}
+	select {
+	case l.ring <- d:
+	default:
+		l.lost.Add(1)
+	}
+}
+
+// Lost returns how many decisions a full ring has lost.
+func (l *Log) Lost() uint64 {
+	if l == nil {
+		return 0
+	}
+	return l.lost.Load()
+}
+
+// lossInterval is how often losses are reported.
+const lossInterval = 10 * time.Second
+
+// Run writes decisions until the context ends, then those still in the ring.
+func (l *Log) Run(ctx context.Context) error {
+	t := time.NewTicker(lossInterval)
+	defer t.Stop()
+	var told uint64
+	for {
+		select {
+		case d := <-l.ring:
+			l.write(d)
+		case <-t.C:
+			if n := l.Lost(); n > told {
+				l.Add(DecisionsLost, slog.Uint64("lost", n-told))
+				told = n
+			}
+		case <-ctx.Done():
+			l.drain()
+			return nil
+		}
+	}
+}
+
+func (l *Log) drain() {
+	for {
+		select {
+		case d := <-l.ring:
+			l.write(d)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Log) write(d Decision) {
+	l.Add(d.ID,
+		slog.String("reason", string(d.Reason)),
+		slog.Int("service", int(d.Service)),
+		slog.Int("zone", int(d.Zone)),
+		slog.String("caller", d.Caller.String()),
+		slog.String("target", d.Target.String()),
+		slog.Uint64("flow", d.Flow))
+}
--- /dev/null
+++ b/link/batch.go
@@ -0,0 +1,106 @@
+package link
+
+import (
+	"net"
+	"net/netip"
+
+	"golang.org/x/net/ipv4"
+)
+
+// Queue collects datagrams that one call writes. It is for one goroutine.
+type Queue struct {
+	write []ipv4.Message
+	addrs []net.UDPAddr
+	n     int
+}
+
+// NewQueue returns a queue with room for n datagrams.
+func NewQueue(n int) *Queue {
+	q := &Queue{write: make([]ipv4.Message, n), addrs: make([]net.UDPAddr, n)}
+	for i := range n {
+		q.write[i].Buffers = make([][]byte, 1)
+		q.addrs[i].IP = make(net.IP, net.IPv4len)
+		q.write[i].Addr = &q.addrs[i]
+	}
+	return q
+}
+
+// Len returns how many datagrams wait for Flush.
+func (q *Queue) Len() int { return q.n }
+
+// Send queues p, which must stay as it is until Flush.
+func (q *Queue) Send(p []byte, to netip.AddrPort) {
+	q.write[q.n].Buffers[0] = p
+	a := &q.addrs[q.n]
+	ip := to.Addr().As4()
+	copy(a.IP, ip[:])
+	a.Port = int(to.Port())
+	q.n++
+}
+
+// Flush writes what is queued and returns how many datagrams were lost. One
+// that the kernel refuses is skipped, so that it can't hold up the others.
+func (q *Queue) Flush(c *ipv4.PacketConn) (lost int) {
+	w := q.write[:q.n]
+	q.n = 0
+	for len(w) > 0 {
+		n, err := c.WriteBatch(w, 0)
+		if err != nil && n <= 0 {
+			lost++
+			n = 1
+		}
+		w = w[n:]
+	}
+	return lost
+}
+
+// Batch is a set of datagrams that one call reads and another writes. Each
+// keeps HeaderSize bytes free before the payload, so that adding a header
+// copies nothing. It is for one goroutine.
+type Batch struct {
+	Queue
+	read []ipv4.Message
+	bufs [][]byte
+}
+
+// bufferSize holds a header and the longest UDP payload of an Ethernet frame.
+const bufferSize = HeaderSize + maxUDP
+
+// NewBatch returns a batch of n datagrams.
+func NewBatch(n int) *Batch {
+	b := &Batch{Queue: *NewQueue(n), read: make([]ipv4.Message, n), bufs: make([][]byte, n)}
+	all := make([]byte, n*bufferSize)
+	for i := range n {
+		b.bufs[i] = all[i*bufferSize : (i+1)*bufferSize : (i+1)*bufferSize]
+		b.read[i].Buffers = [][]byte{b.bufs[i][HeaderSize:]}
+	}
+	return b
+}
+
+// Read fills the batch with at least one datagram and returns how many.
+func (b *Batch) Read(c *ipv4.PacketConn) (int, error) {
+	return c.ReadBatch(b.read, 0)
+}
+
+// Payload returns the i-th datagram that was read.
+func (b *Batch) Payload(i int) []byte {
+	return b.bufs[i][HeaderSize : HeaderSize+b.read[i].N]
+}
+
+// From returns the source of the i-th datagram that was read.
+func (b *Batch) From(i int) netip.AddrPort {
+	a, ok := b.read[i].Addr.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	p := a.AddrPort()
+	return netip.AddrPortFrom(p.Addr().Unmap(), p.Port())
+}
+
+// Header returns the free bytes before the i-th datagram.
+func (b *Batch) Header(i int) []byte { return b.bufs[i][:HeaderSize] }
+
+// SendWithHeader queues the i-th datagram with the header before it.
+func (b *Batch) SendWithHeader(i int, to netip.AddrPort) {
+	b.Send(b.bufs[i][:HeaderSize+b.read[i].N], to)
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/quic-go/quic-go/http3"
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/fleet"
+)
+
+// callTimeout bounds a call to a peer beyond the time it was asked to wait.
+const callTimeout = 3 * time.Second
+
+// maxChange bounds the answer of a peer, in bytes: a whole large fleet.
+const maxChange = 64 << 20
+
+// Client calls peers.
+type Client struct {
+	tr *http3.Transport
+}
+
+// NewClient returns a client with the identity.
+func NewClient(i *Identity) *Client {
+	return &Client{tr: &http3.Transport{TLSClientConfig: i.ClientTLS(), QUICConfig: quicConfig()}}
+}
+
+// RoundTrip makes one request of a peer; the URL's host is its peer address.
+func (c *Client) RoundTrip(r *http.Request) (*http.Response, error) { return c.tr.RoundTrip(r) }
+
+// Close ends all connections.
+func (c *Client) Close() { c.tr.Close() }
+
+// Position is how far a follower has read a peer's view.
+type Position struct {
+	Epoch, Revision uint64
+}
+
+// Follow returns what changed at the peer after the position, waiting for it.
+func (c *Client) Follow(ctx context.Context, a netip.AddrPort, at Position, have bundle.Version, wait time.Duration) (fleet.Change, error) {
+	ctx, stop := context.WithTimeout(ctx, wait+callTimeout)
+	defer stop()
+	u := fmt.Sprintf("https://%s%s?epoch=%d&revision=%d&have=%d&wait=%s", a, pathFleet, at.Epoch, at.Revision, have, wait)
+	var out fleet.Change
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return out, eris.Wrap(err, "follow")
+	}
+	b, err := c.do(r)
+	if err != nil {
+		return out, err
+	}
+	return out, eris.Wrap(json.Unmarshal(b, &out), "peer's change")
+}
+
+// Announce tells the peer of a change.
+func (c *Client) Announce(ctx context.Context, a netip.AddrPort, ch fleet.Change) error {
+	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
+	b, err := json.Marshal(ch)
+	if err != nil {
+		return eris.Wrap(err, "announce")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+a.String()+pathAnnounce, bytes.NewReader(b))
+	if err != nil {
+		return eris.Wrap(err, "announce")
+	}
+	_, err = c.do(r)
+	return err
+}
+
+func (c *Client) do(r *http.Request) ([]byte, error) {
+	a, err := c.tr.RoundTrip(r)
+	if err != nil {
+		return nil, eris.Wrapf(err, "peer %s", r.URL.Host)
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxChange))
+	if err != nil {
+		return nil, eris.Wrapf(err, "peer %s", r.URL.Host)
+	}
+	if a.StatusCode >= http.StatusBadRequest {
+		return nil, eris.Errorf("peer %s answers %d: %s", r.URL.Host, a.StatusCode, b)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/fleet"
+)
+
+const (
+	pathFleet    = "/fleet"
+	pathAnnounce = "/announce"
+	// maxFollow is the longest that a follower may wait for a change.
+	maxFollow = 30 * time.Second
+	// settle gathers changes that come close together into one answer.
+	settle = 50 * time.Millisecond
+	// maxAnnounce bounds what a peer may announce at once, in bytes.
+	maxAnnounce = 4 << 20
+	// peerIdle finds a peer that died with requests under way.
+	peerIdle      = 6 * time.Second
+	peerAlive     = 2 * time.Second
+	peerHandshake = time.Second
+	peerStreams   = 4096
+)
+
+// Server serves peers.
+type Server struct {
+	state *fleet.State
+	conn  *net.UDPConn
+	tr    *quic.Transport
+	h3    *http3.Server
+	// Followed counts the answers given to followers.
+	Followed atomic.Uint64
+}
+
+// NewServer listens for peers on the address. Other paths than the fleet's go
+// to next, which may be nil.
+func NewServer(a netip.AddrPort, i *Identity, s *fleet.State, next http.Handler) (*Server, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, err
+	}
+	v := &Server{state: s, conn: c, tr: &quic.Transport{Conn: c}}
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+pathFleet, v.serveFleet)
+	m.HandleFunc("POST "+pathAnnounce, v.serveAnnounce)
+	if next != nil {
+		m.Handle("/", next)
+	}
+	v.h3 = &http3.Server{Handler: m, TLSConfig: i.ServerTLS()}
+	return v, nil
+}
+
+// Addr returns the address that peers reach the server at.
+func (s *Server) Addr() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: peerHandshake, MaxIdleTimeout: peerIdle,
+		KeepAlivePeriod: peerAlive, MaxIncomingStreams: peerStreams,
+	}
+}
+
+// Run serves until Close.
+func (s *Server) Run() error {
+	l, err := s.tr.ListenEarly(s.h3.TLSConfig, quicConfig())
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	err = s.h3.ServeListener(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close stops the server at once.
+func (s *Server) Close() {
+	s.h3.Close()
+	s.tr.Close()
+	s.conn.Close()
+}
+
+// serveFleet answers a follower when there is something new to it.
+func (s *Server) serveFleet(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	epoch, _ := strconv.ParseUint(q.Get("epoch"), 10, 64)
+	rev, _ := strconv.ParseUint(q.Get("revision"), 10, 64)
+	have, _ := strconv.ParseUint(q.Get("have"), 10, 64)
+	wait, _ := time.ParseDuration(q.Get("wait"))
+	ctx, stop := context.WithTimeout(r.Context(), min(wait, maxFollow))
+	defer stop()
+	c := s.waitChange(ctx, epoch, rev, bundle.Version(have))
+	s.Followed.Add(1)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(c)
+}
+
+func (s *Server) waitChange(ctx context.Context, epoch, rev uint64, have bundle.Version) fleet.Change {
+	for {
+		changed := s.state.Changed()
+		c := s.state.Since(epoch, rev, have)
+		if c.Bundle != nil || len(c.Members)+len(c.Opinions) > 0 || c.Epoch != epoch {
+			return c
+		}
+		select {
+		case <-changed:
+			time.Sleep(settle)
+		case <-ctx.Done():
+			return c
+		}
+	}
+}
+
+func (s *Server) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var c fleet.Change
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounce)).Decode(&c); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.state.Merge(c)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,203 @@
+// Package process is what every long-running program of pomeloway shares: its
+// settings, its view of the fleet, its server for peers and its operator page.
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/keyring"
+	"pomeloway.example/pomeloway/peer"
+	"pomeloway.example/pomeloway/platform"
+)
+
+// Options are the settings that balancers and agents share.
+type Options struct {
+	Zone     bundle.ZoneID    `help:"Number of the availability zone that this VM stands in." required:"" env:"POMELOWAY_ZONE" group:"Place"`
+	Link     netip.AddrPort   `help:"Address for datagrams between balancers and agents." required:"" env:"POMELOWAY_LINK" placeholder:"IP:PORT" group:"Addresses"`
+	Peer     netip.AddrPort   `help:"Address for calls from the fleet's other processes." required:"" env:"POMELOWAY_PEER" placeholder:"IP:PORT" group:"Addresses"`
+	Operator netip.AddrPort   `help:"Address of the operators' page: /metrics, /readyz, /state." required:"" env:"POMELOWAY_OPERATOR" placeholder:"IP:PORT" group:"Addresses"`
+	Platform string           `help:"URL of the platform's object API." required:"" env:"POMELOWAY_PLATFORM" placeholder:"URL" group:"Platform"`
+	Token    string           `help:"Bearer token for the platform." env:"POMELOWAY_TOKEN" group:"Platform"`
+	Seeds    []netip.AddrPort `help:"Peers to ask when the platform is down at the start." env:"POMELOWAY_SEEDS" placeholder:"IP:PORT" group:"Platform"`
+	Keys     []string         `help:"Fleet keys as id:secret, from pomeloway key new." required:"" env:"POMELOWAY_KEYS" group:"Keys"`
+	Trust    []string         `help:"Operators' public keys that sign bundles." required:"" env:"POMELOWAY_TRUST" group:"Keys"`
+}
+
+// Validate returns all that is wrong with the settings, each with its flag.
+func (o *Options) Validate() error {
+	var f Faults
+	f.Want(o.Zone != 0, "--zone", "must be 1 to 255")
+	f.Address("--link", o.Link)
+	f.Address("--peer", o.Peer)
+	f.Address("--operator", o.Operator)
+	f.Want(o.Link.Addr().Is4(), "--link", "must be an IPv4 address")
+	f.Want(len(o.Platform) > 8 && (o.Platform[:7] == "http://" || o.Platform[:8] == "https://"), "--platform", "must be an http or https URL")
+	_, err := keyring.Parse(o.Keys)
+	f.Err("--keys", err)
+	_, err = bundle.NewVerifier(o.Trust)
+	f.Err("--trust", err)
+	return f.All()
+}
+
+// Process is the running base of a program.
+type Process struct {
+	State *fleet.State
+	Node  *peer.Node
+	Peers *peer.Client
+	Log   *events.Log
+	Scope tally.Scope
+
+	opts     Options
+	ring     keyring.Ring
+	identity *peer.Identity
+	server   *peer.Server
+	operator net.Listener
+	reporter prometheus.Reporter
+	closer   io.Closer
+	ready    atomic.Bool
+
+	mu    sync.Mutex
+	state func() any
+}
+
+// metricsInterval is how often counters reach the reporter.
+const metricsInterval = time.Second
+
+// New prepares a process; next serves peers' calls beyond the fleet's own.
+func New(o Options, role fleet.Role, service bundle.ServiceID, l *slog.Logger, next http.Handler) (*Process, error) {
+	ring, err := keyring.Parse(o.Keys)
+	if err != nil {
+		return nil, err
+	}
+	v, err := bundle.NewVerifier(o.Trust)
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{opts: o, ring: ring, Log: events.NewLog(l), State: fleet.NewState(v)}
+	if p.identity, err = peer.NewIdentity(ring); err != nil {
+		return nil, err
+	}
+	if p.server, err = peer.NewServer(o.Peer, p.identity, p.State, next); err != nil {
+		return nil, eris.Wrap(err, "--peer")
+	}
+	if p.operator, err = net.Listen("tcp", o.Operator.String()); err != nil {
+		p.server.Close()
+		return nil, eris.Wrap(err, "--operator")
+	}
+	p.Peers = peer.NewClient(p.identity)
+	p.Node = peer.NewNode(p.State, p.Peers, platform.NewClient(o.Platform, o.Token), p.Log, fleet.Member{
+		ID: fleet.NewID(role, o.Link), Role: role, Zone: o.Zone, Service: service,
+		Link: o.Link, Peer: p.server.Addr(), Operator: p.operator.Addr().String(),
+		Incarnation: fleet.NewIncarnation(), Phase: fleet.PhaseReady,
+	})
+	p.Node.Seeds = o.Seeds
+	// A registry of its own lets several processes of a trial share a program.
+	reg := client.NewRegistry()
+	p.reporter = prometheus.NewReporter(prometheus.Options{Registerer: reg, Gatherer: reg})
+	p.Scope, p.closer = tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "pomeloway", CachedReporter: p.reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	return p, nil
+}
+
+// Ring returns the secrets that fit the bundle in force.
+func (p *Process) Ring(a *bundle.Accepted) (keyring.Ring, error) { return p.ring.Select(a.Bundle) }
+
+// Keys returns every secret that the process was given.
+func (p *Process) Keys() keyring.Ring { return p.ring }
+
+// Rekey makes the peers' identity follow the bundle's keys.
+func (p *Process) Rekey(r keyring.Ring) error { return p.identity.Set(r) }
+
+// SetReady says whether callers' datagrams should come here.
+func (p *Process) SetReady(v bool) { p.ready.Store(v) }
+
+// SetState gives the function that makes the program's part of /state.
+func (p *Process) SetState(f func() any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = f
+}
+
+// AddTo adds the process's duties to the group.
+func (p *Process) AddTo(g *run.Group) {
+	ctx, stop := context.WithCancel(context.Background())
+	g.Add(func() error { return p.Log.Run(ctx) }, func(error) { stop() })
+	ctx2, stop2 := context.WithCancel(context.Background())
+	g.Add(func() error { return p.Node.Run(ctx2) }, func(error) { stop2() })
+	g.Add(p.server.Run, func(error) { p.server.Close(); p.Peers.Close() })
+	s := &http.Server{Handler: p.handler(), ReadHeaderTimeout: metricsInterval}
+	g.Add(func() error { return ignoreClosed(s.Serve(p.operator)) }, func(error) { s.Close(); p.closer.Close() })
+}
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+func (p *Process) handler() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("GET /metrics", p.reporter.HTTPHandler())
+	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.ready.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ready\n")
+	})
+	m.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(p.Status())
+	})
+	return m
+}
+
+// Status is the JSON view of a process. It holds no secret.
+type Status struct {
+	Self          fleet.Member    `json:"self"`
+	Ready         bool            `json:"ready"`
+	BundleVersion bundle.Version  `json:"bundleVersion"`
+	BundleDigest  bundle.Digest   `json:"bundleDigest,omitempty"`
+	PlatformDown  bool            `json:"platformDown"`
+	DecisionsLost uint64          `json:"decisionsLost"`
+	Members       []fleet.Member  `json:"members"`
+	Opinions      []fleet.Opinion `json:"opinions"`
+	Program       any             `json:"program,omitempty"`
+}
+
+// Status returns the present view.
+func (p *Process) Status() Status {
+	s := Status{Self: p.Node.Self(), Ready: p.ready.Load(), PlatformDown: p.Node.PlatformDown(), DecisionsLost: p.Log.Lost()}
+	s.Members, s.Opinions = p.State.Snapshot()
+	if a := p.State.Accepted(); a != nil {
+		s.BundleVersion, s.BundleDigest = a.Version, a.Digest
+	}
+	p.mu.Lock()
+	f := p.state
+	p.mu.Unlock()
+	if f != nil {
+		s.Program = f()
+	}
+	return s
+}
--- /dev/null
+++ b/standin/fabric.go
@@ -0,0 +1,187 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Fabric hands each datagram of a caller to a random balancer, the dead ones
+// too until it is told. On a real site balancers answer callers from the
+// service's address; on loopback that address is the fabric's, so it gives each
+// caller a port towards the balancers and carries the answers back.
+type Fabric struct {
+	mu      sync.Mutex
+	targets map[netip.AddrPort][]netip.AddrPort
+	doors   map[netip.AddrPort]*door
+	wait    sync.WaitGroup
+
+	// Sprayed counts datagrams towards balancers, Returned those back.
+	Sprayed, Returned atomic.Uint64
+}
+
+// door is the fabric's socket on one service's address.
+type door struct {
+	f       *Fabric
+	service netip.AddrPort
+	conn    *net.UDPConn
+	mu      sync.Mutex
+	callers map[netip.AddrPort]*caller
+	closed  bool
+}
+
+// caller is the fabric's memory of one caller.
+type caller struct {
+	conn *net.UDPConn
+	used atomic.Int64
+	// deafIn and deafOut drop what goes to the balancers or the caller.
+	deafIn, deafOut atomic.Bool
+}
+
+const (
+	callerIdle = 60 * time.Second
+	datagram   = 2048
+	buffer     = 4 << 20
+)
+
+// NewFabric returns a fabric without services.
+func NewFabric() *Fabric {
+	return &Fabric{targets: map[netip.AddrPort][]netip.AddrPort{}, doors: map[netip.AddrPort]*door{}}
+}
+
+// Open starts serving the service's address.
+func (f *Fabric) Open(service netip.AddrPort) error {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(service))
+	if err != nil {
+		return err
+	}
+	c.SetReadBuffer(buffer)
+	d := &door{f: f, service: service, conn: c, callers: map[netip.AddrPort]*caller{}}
+	f.mu.Lock()
+	f.doors[service] = d
+	f.mu.Unlock()
+	f.wait.Go(d.run)
+	return nil
+}
+
+// Set gives the balancers' addresses for the service.
+func (f *Fabric) Set(service netip.AddrPort, to []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets[service] = to
+}
+
+func (f *Fabric) pick(service netip.AddrPort) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[service]
+	if len(t) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return t[rand.IntN(len(t))], true
+}
+
+// Silence makes the path of the caller's address silent, towards the balancers,
+// back to the caller, or both.
+func (f *Fabric) Silence(service, from netip.AddrPort, in, out bool) bool {
+	f.mu.Lock()
+	d := f.doors[service]
+	f.mu.Unlock()
+	if d == nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.callers[from]
+	if c == nil {
+		return false
+	}
+	c.deafIn.Store(in)
+	c.deafOut.Store(out)
+	return true
+}
+
+// Close stops all doors.
+func (f *Fabric) Close() {
+	f.mu.Lock()
+	for _, d := range f.doors {
+		d.close()
+	}
+	f.mu.Unlock()
+	f.wait.Wait()
+}
+
+func (d *door) close() {
+	d.conn.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	for _, c := range d.callers {
+		c.conn.Close()
+	}
+}
+
+func (d *door) run() {
+	b := make([]byte, datagram)
+	for {
+		n, from, err := d.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		c := d.caller(from)
+		to, ok := d.f.pick(d.service)
+		if c == nil || !ok || c.deafIn.Load() {
+			continue
+		}
+		c.used.Store(time.Now().UnixNano())
+		d.f.Sprayed.Add(1)
+		c.conn.WriteToUDPAddrPort(b[:n], to)
+	}
+}
+
+func (d *door) caller(from netip.AddrPort) *caller {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.callers[from]; c != nil {
+		return c
+	}
+	if d.closed {
+		return nil
+	}
+	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(d.service.Addr(), 0)))
+	if err != nil {
+		return nil
+	}
+	s.SetReadBuffer(buffer)
+	c := &caller{conn: s}
+	c.used.Store(time.Now().UnixNano())
+	d.callers[from] = c
+	d.f.wait.Go(func() { d.back(c, from) })
+	return c
+}
+
+// back carries answers to the caller until it was idle for long.
+func (d *door) back(c *caller, to netip.AddrPort) {
+	b := make([]byte, datagram)
+	for {
+		c.conn.SetReadDeadline(time.Now().Add(callerIdle))
+		n, _, err := c.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			break
+		}
+		if c.deafOut.Load() {
+			continue
+		}
+		d.f.Returned.Add(1)
+		d.conn.WriteToUDPAddrPort(b[:n], to)
+	}
+	c.conn.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.callers[to] == c {
+		delete(d.callers, to)
+	}
+}
--- /dev/null
+++ b/standin/upstream.go
@@ -0,0 +1,335 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Ledger counts how often each order was run, over all upstreams that share it.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Run notes one run of the order and returns how many there were.
+func (l *Ledger) Run(order string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.runs == nil {
+		l.runs = map[string]int{}
+	}
+	l.runs[order]++
+	return l.runs[order]
+}
+
+// Runs returns how often the order was run.
+func (l *Ledger) Runs(order string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[order]
+}
+
+// Twice returns how many orders were run more than once.
+func (l *Ledger) Twice() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.runs {
+		if r > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// Upstream is a back end with slots, cold start, drain and shedding. Its work
+// takes Work, and five times as long while it is cold.
+type Upstream struct {
+	Service, Name, Zone string
+	Slots               int
+	// ColdSlots is what it bears cold, ColdAnswers the answers that double it.
+	ColdSlots, ColdAnswers int
+	Work                   time.Duration
+	Ledger                 *Ledger
+
+	mu       sync.Mutex
+	running  int
+	bears    int
+	answers  int
+	turned   time.Time
+	draining bool
+	waiting  *pair
+	cross    atomic.Bool
+
+	// OverSlots and OverCold count work beyond what it bears; OverWarned only
+	// the part of OverCold that came later than a second after it turned cold
+	// without warning. Misrouted counts requests for another service.
+	OverSlots, OverCold, OverWarned, Misrouted, Served atomic.Uint64
+	// LastWork is when work last began, LastSent when a feed's line was last
+	// sent, in Unix nanoseconds.
+	LastWork, LastSent atomic.Int64
+	// Feeds counts the feeds that are open.
+	Feeds atomic.Int64
+}
+
+const (
+	coldFactor = 5
+	// unwarned is the time in which nobody can know of an unannounced turn.
+	unwarned = time.Second
+)
+
+// TurnCold makes the upstream cold; without warning if it was serving.
+func (u *Upstream) TurnCold() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.bears, u.answers, u.turned = max(u.ColdSlots, 1), 0, time.Now()
+}
+
+// Drain makes the health end point say that the upstream drains.
+func (u *Upstream) Drain(v bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.draining = v
+}
+
+// Cross makes it swap the answers of two requests now and then.
+func (u *Upstream) Cross(v bool) { u.cross.Store(v) }
+
+// Cold reports whether it bears less than its slots.
+func (u *Upstream) Cold() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.bears < u.Slots
+}
+
+// begin admits one piece of work, or sheds it.
+func (u *Upstream) begin() (time.Duration, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.bears == 0 {
+		u.bears, u.turned = max(u.ColdSlots, 1), time.Time{}
+	}
+	u.LastWork.Store(time.Now().UnixNano())
+	u.running++
+	cold := u.bears < u.Slots
+	switch {
+	case u.running > u.Slots:
+		u.OverSlots.Add(1)
+		return 0, false
+	case u.running > u.bears:
+		u.OverCold.Add(1)
+		if time.Since(u.turned) > unwarned {
+			u.OverWarned.Add(1)
+		}
+		return 0, false
+	case cold:
+		return u.Work * coldFactor, true
+	}
+	return u.Work, true
+}
+
+func (u *Upstream) end(good bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running--
+	if !good || u.bears >= u.Slots {
+		return
+	}
+	if u.answers++; u.answers >= u.ColdAnswers {
+		u.answers, u.bears = 0, min(u.bears*2, u.Slots)
+	}
+}
+
+// Handler returns the upstream's HTTP interface.
+func (u *Upstream) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /healthz", u.health)
+	m.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, rand.IntN(max(u.Slots, 1))) // lags and misleads
+	})
+	m.HandleFunc("GET /feed", u.feed)
+	m.HandleFunc("GET /screen", u.screen)
+	m.HandleFunc("POST /order", u.order)
+	m.HandleFunc("POST /upload", u.upload)
+	m.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, map[string]uint64{"served": u.Served.Load(), "overSlots": u.OverSlots.Load(), "overCold": u.OverCold.Load()})
+	})
+	m.HandleFunc("POST /standin/cold", func(w http.ResponseWriter, _ *http.Request) { u.TurnCold() })
+	m.HandleFunc("POST /standin/drain", func(w http.ResponseWriter, r *http.Request) { u.Drain(r.URL.Query().Get("on") != "false") })
+	return m
+}
+
+func (u *Upstream) health(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	d := u.draining
+	u.mu.Unlock()
+	if d {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ok")
+}
+
+// header sets what every answer carries and counts requests of other services.
+func (u *Upstream) header(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Want-Service"); want != "" && want != u.Service {
+		u.Misrouted.Add(1)
+	}
+	w.Header().Set("Pomeloway-Request", r.Header.Get("Pomeloway-Request"))
+	w.Header().Set("Upstream", u.Name)
+	w.Header().Set("Upstream-Zone", u.Zone)
+}
+
+func (u *Upstream) work(w http.ResponseWriter, r *http.Request) bool {
+	u.header(w, r)
+	d, ok := u.begin()
+	if !ok {
+		u.end(false)
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return false
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		u.end(false)
+		return false
+	}
+}
+
+// Line is one line of a feed.
+type Line struct {
+	Service  string `json:"service"`
+	Upstream string `json:"upstream"`
+	Zone     string `json:"zone"`
+	Caller   string `json:"caller"`
+	Seq      int    `json:"seq"`
+	Last     bool   `json:"last,omitempty"`
+}
+
+// feed sends a line every interval, lines in all.
+func (u *Upstream) feed(w http.ResponseWriter, r *http.Request) {
+	if !u.work(w, r) {
+		return
+	}
+	u.end(true)
+	u.Feeds.Add(1)
+	defer u.Feeds.Add(-1)
+	q := r.URL.Query()
+	lines, _ := strconv.Atoi(q.Get("lines"))
+	every, _ := time.ParseDuration(q.Get("every"))
+	e := json.NewEncoder(w)
+	for i := 1; i <= lines; i++ {
+		e.Encode(Line{u.Service, u.Name, u.Zone, q.Get("caller"), i, i == lines})
+		if http.NewResponseController(w).Flush() == nil {
+			u.LastSent.Store(time.Now().UnixNano())
+		}
+		select {
+		case <-time.After(max(every, time.Millisecond)):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	u.Served.Add(1)
+}
+
+// Reply is the answer to a screen or an order.
+type Reply struct {
+	Service  string `json:"service"`
+	Upstream string `json:"upstream"`
+	Zone     string `json:"zone"`
+	Caller   string `json:"caller"`
+	Order    string `json:"order,omitempty"`
+	Run      int    `json:"run,omitempty"`
+	SHA256   string `json:"sha256,omitempty"`
+}
+
+func (u *Upstream) reply(w http.ResponseWriter, v Reply) {
+	v.Service, v.Upstream, v.Zone = u.Service, u.Name, u.Zone
+	u.Served.Add(1)
+	writeJSON(w, http.StatusOK, v)
+}
+
+func (u *Upstream) screen(w http.ResponseWriter, r *http.Request) {
+	if !u.work(w, r) {
+		return
+	}
+	defer u.end(true)
+	c := crossing{id: r.Header.Get("Pomeloway-Request"), caller: r.URL.Query().Get("caller")}
+	if u.cross.Load() {
+		c = u.swap(c)
+	}
+	w.Header().Set("Pomeloway-Request", c.id)
+	u.reply(w, Reply{Caller: c.caller})
+}
+
+// crossing is what makes an answer that of one request.
+type crossing struct{ id, caller string }
+
+const crossWindow = 30 * time.Millisecond
+
+// pair is two requests whose answers are exchanged.
+type pair struct {
+	first, second crossing
+	met           chan struct{}
+}
+
+// swap exchanges the answer with that of another request, if one comes soon.
+func (u *Upstream) swap(c crossing) crossing {
+	u.mu.Lock()
+	if p := u.waiting; p != nil {
+		u.waiting = nil
+		p.second = c
+		close(p.met)
+		u.mu.Unlock()
+		return p.first
+	}
+	p := &pair{first: c, met: make(chan struct{})}
+	u.waiting = p
+	u.mu.Unlock()
+	select {
+	case <-p.met:
+		return p.second
+	case <-time.After(crossWindow):
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.waiting == p {
+		u.waiting = nil
+		return c
+	}
+	return p.second
+}
+
+// order runs an order: the ledger is what it does to the world.
+func (u *Upstream) order(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil || !u.work(w, r) {
+		return
+	}
+	defer u.end(true)
+	u.reply(w, Reply{Caller: r.URL.Query().Get("caller"), Order: string(b), Run: u.Ledger.Run(string(b))})
+}
+
+func (u *Upstream) upload(w http.ResponseWriter, r *http.Request) {
+	if !u.work(w, r) {
+		return
+	}
+	h := sha256.New()
+	_, err := io.Copy(h, r.Body)
+	u.end(err == nil)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	u.reply(w, Reply{Caller: r.URL.Query().Get("caller"), SHA256: hex.EncodeToString(h.Sum(nil))})
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,250 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// RequestID names one run of one request towards the upstream.
+type RequestID string
+
+// HeaderRequest carries the RequestID to the upstream and back.
+const HeaderRequest = "Pomeloway-Request"
+
+// HeaderTimeout carries what is left of the caller's deadline, as a Go duration.
+const HeaderTimeout = "Request-Timeout"
+
+// Errors of Client.Do. ErrNotRun is certain: the request never left. Any other
+// error leaves the outcome unknown.
+var (
+	ErrNotRun   = errors.New("request did not reach the upstream")
+	ErrMismatch = errors.New("upstream's answer was to another request")
+	errTaken    = errors.New("request's id is in use")
+)
+
+const (
+	dialTimeout   = 2 * time.Second
+	idleMost      = 64
+	idleFor       = 30 * time.Second
+	headerMost    = 64 << 10
+	expectTimeout = time.Second
+)
+
+// Client sends requests to the upstream over HTTP and matches its answers.
+type Client struct {
+	// CheckID says that an answer must carry its request's id.
+	CheckID atomic.Bool
+	// Crossed counts answers that came on another request's connection,
+	// Dropped those that nobody waited for any more.
+	Crossed, Dropped atomic.Uint64
+
+	address netip.AddrPort
+	tr      *http.Transport
+
+	mu      sync.Mutex
+	waiting map[RequestID]chan *http.Response
+}
+
+// NewClient returns a client of the upstream at the address.
+func NewClient(a netip.AddrPort) *Client {
+	d := net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		address: a,
+		waiting: map[RequestID]chan *http.Response{},
+		tr: &http.Transport{
+			DialContext:            d.DialContext,
+			MaxIdleConnsPerHost:    idleMost,
+			IdleConnTimeout:        idleFor,
+			MaxResponseHeaderBytes: headerMost,
+			ExpectContinueTimeout:  expectTimeout,
+			DisableCompression:     true,
+		},
+	}
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.tr.CloseIdleConnections() }
+
+// idempotencyHeaders make net/http's transport repeat any request, a POST too,
+// when a kept connection fails.
+var idempotencyHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// Do sends the request under the id and returns the answer to it.
+//
+// With an idempotency header net/http's transport would send an order again
+// after its connection broke in mid-request; it would show as one order run
+// twice. The header ends at the agent, which keeps the promise itself, so the
+// transport repeats a POST only when not one byte of it was written.
+func (c *Client) Do(r *http.Request, id RequestID) (*http.Response, error) {
+	ch, err := c.expect(id)
+	if err != nil {
+		return nil, err
+	}
+	defer c.forget(id)
+	for _, h := range idempotencyHeaders {
+		r.Header.Del(h)
+	}
+	r.URL.Scheme, r.URL.Host = "http", c.address.String()
+	r.Header.Set(HeaderRequest, string(id))
+	if d, ok := r.Context().Deadline(); ok {
+		r.Header.Set(HeaderTimeout, time.Until(d).Round(time.Millisecond).String())
+	}
+	a, err := c.exchange(r)
+	if err != nil {
+		return nil, err
+	}
+	return c.match(r.Context(), a, id, ch)
+}
+
+// exchange makes the round trip. The answer may turn out to be another
+// request's, so it outlives the request's context once it is handed over.
+func (c *Client) exchange(r *http.Request) (*answer, error) {
+	var sent atomic.Bool
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+	detach := context.AfterFunc(r.Context(), cancel)
+	a, err := c.tr.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})))
+	if err != nil {
+		cancel()
+		if !sent.Load() {
+			return nil, eris.Wrap(ErrNotRun, err.Error())
+		}
+		return nil, err
+	}
+	a.Body = &body{ReadCloser: a.Body, cancel: cancel}
+	return &answer{Response: a, detach: detach}, nil
+}
+
+// answer is a response and the function that frees it from the context of the
+// request whose connection it came on.
+type answer struct {
+	*http.Response
+	detach func() bool
+}
+
+// body ends its exchange when it is closed.
+type body struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body and cancels what is left of the exchange.
+func (b *body) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
+func (c *Client) expect(id RequestID) (chan *http.Response, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.waiting[id]; ok {
+		return nil, eris.Wrap(ErrNotRun, errTaken.Error())
+	}
+	ch := make(chan *http.Response, 1)
+	c.waiting[id] = ch
+	return ch, nil
+}
+
+// forget drops an answer that was handed over but is waited for no more.
+func (c *Client) forget(id RequestID) {
+	c.mu.Lock()
+	ch := c.waiting[id]
+	delete(c.waiting, id)
+	c.mu.Unlock()
+	select {
+	case a := <-ch:
+		c.drop(a)
+	default:
+	}
+}
+
+func (c *Client) drop(a *http.Response) {
+	c.Dropped.Add(1)
+	a.Body.Close()
+}
+
+// crossWait is how long a request waits for its own answer after another's came
+// on its connection.
+const crossWait = 2 * time.Second
+
+// match returns the answer to the request with the id.
+//
+// An upstream that mixes up its answers would show one caller another's letter.
+// The id in the answer tells: an answer to a request that still waits is handed
+// to it, any other is dropped, and this request waits for its own.
+func (c *Client) match(ctx context.Context, a *answer, id RequestID, own chan *http.Response) (*http.Response, error) {
+	if !c.CheckID.Load() || RequestID(a.Header.Get(HeaderRequest)) == id {
+		return a.Response, nil
+	}
+	a.detach()
+	c.handOver(a.Response)
+	t := time.NewTimer(crossWait)
+	defer t.Stop()
+	select {
+	case a := <-own:
+		return a, nil
+	case <-t.C:
+		return nil, ErrMismatch
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *Client) handOver(a *http.Response) {
+	c.mu.Lock()
+	ch, ok := c.waiting[RequestID(a.Header.Get(HeaderRequest))]
+	if ok {
+		select {
+		case ch <- a:
+		default:
+			ok = false
+		}
+	}
+	c.mu.Unlock()
+	if !ok {
+		c.drop(a)
+		return
+	}
+	c.Crossed.Add(1)
+}
+
+// copySize is the buffer of one stream; a body passes through it whatever its
+// length.
+const copySize = 32 << 10
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
+
+// Stream copies body to w and flushes after each read, so that a feed's first
+// byte arrives at once and a slow reader slows the writer.
+func Stream(w io.Writer, flush func() error, body io.Reader) error {
+	b := buffers.Get().(*[]byte)
+	defer buffers.Put(b)
+	for {
+		n, err := body.Read(*b)
+		if n > 0 {
+			if _, err := w.Write((*b)[:n]); err != nil {
+				return eris.Wrap(err, "to caller")
+			}
+			if err := flush(); err != nil {
+				return eris.Wrap(err, "to caller")
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "from upstream")
+		}
+	}
+}
