Check every bit of a link header's tag

Cause: in Go | and ^ have one precedence, so t0 ^ a | t1 ^ b was read from the left, and 35 of the 128 bits of the tag did not count. Change: the two differences have names, and are joined after.

--- a/agent/body.go
+++ b/agent/body.go
@@ -34,13 +34,6 @@
 	return &bodyTurn{b: b, turn: b.turn}, true
 }
 
-// again reports whether the body can be sent once more.
-func (b *replayBody) again() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !b.lost
-}
-
 type bodyTurn struct {
 	b    *replayBody
 	turn int
--- a/agent/options.go
+++ b/agent/options.go
@@ -29,7 +29,7 @@
 // Validate returns all that is wrong with the settings.
 func (o *Options) Validate() error {
 	var f process.Faults
-	f.Err("settings", o.Options.Validate())
+	f.Join(o.Options.Validate())
 	f.Want(o.Service != 0, "--service", "must be 1 to 65535")
 	f.Address("--upstream", o.Upstream)
 	f.Want(o.Health == "" || strings.HasPrefix(o.Health, "/"), "--health", "must be a path such as /healthz")
--- /dev/null
+++ b/bundle/bundle_test.go
@@ -0,0 +1,140 @@
+package bundle
+
+import (
+	"crypto/rand"
+	"errors"
+	"strings"
+	"testing"
+
+	"aead.dev/minisign"
+	"github.com/sebdah/goldie/v2"
+)
+
+const good = `services:
+  - id: 1
+    name: letters
+    address: 192.0.2.1:443
+    protocol: h3
+    upstreams: {slots: 5, connections: 2000, coldStart: {slots: 1, answers: 5}}
+    routes:
+      - {prefix: /feed, holds: connection}
+zones:
+  - {id: 1, name: dar-1, state: in}
+  - {id: 2, name: dar-2, state: out}
+keys:
+  - {id: 1, fingerprint: "0011223344556677"}
+currentKey: 1
+`
+
+func TestDecodeFindsEveryFaultWithItsPlace(t *testing.T) {
+	tests := map[string]string{
+		"unknown fields and reused names": strings.NewReplacer(
+			"    protocol: h3\n", "    protocol: h3\n    colour: blue\n",
+			"name: dar-2", "name: dar-1",
+			"currentKey: 1", "currentKey: 7").Replace(good),
+		"impossible limits": strings.Replace(good, "slots: 5, connections: 2000, coldStart: {slots: 1, answers: 5}",
+			"slots: -1, connections: many, coldStart: {slots: 9, answers: 0}", 1),
+		"overlapping addresses": strings.Replace(good, "zones:\n", `  - id: 1
+    name: scans
+    address: 192.0.2.1:443
+    protocol: h2
+    upstreams: {slots: 5, connections: 2000, coldStart: {slots: 1, answers: 5}}
+zones:
+`, 1),
+		"broken YAML":     "services: [\n",
+		"two documents":   good + "---\n" + good,
+		"wrong shapes":    "services: 7\nzones: {a: 1}\nkeys:\n  - 5\ncurrentKey: [1]\n",
+		"silent timeouts": good + "timeouts: {idle: 60s, keepAlive: 50s, queue: -1s, request: soon}\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := Decode([]byte(text))
+			var f Findings
+			if !errors.As(err, &f) {
+				t.Fatalf("err = %v, want findings", err)
+			}
+			goldie.New(t).Assert(t, strings.ReplaceAll(name, " ", "-"), []byte(f.InFile("bundle.yaml").Error()+"\n"))
+		})
+	}
+}
+
+func TestDecodeTakesAGoodBundle(t *testing.T) {
+	b, err := Decode([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !b.ZoneOut(2) || b.ZoneOut(1) || !b.ZoneOut(9) {
+		t.Error("zone 1 must be in; 2 and the unknown 9 out")
+	}
+	s := b.Service(1)
+	if s.Holds("/feed/7") != HoldingConnection || s.Holds("/order") != HoldingSlot {
+		t.Error("a feed holds a connection, an order a slot")
+	}
+}
+
+func signer(t *testing.T) (minisign.PrivateKey, *Verifier) {
+	t.Helper()
+	pub, key, err := minisign.GenerateKey(rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := NewVerifier([]string{pub.String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key, v
+}
+
+// Somebody who has taken over the platform, or a peer, changes a bundle on its
+// way: its text, its place in the line, or its signer. If any of it took effect
+// operators would no longer decide what is in force.
+func TestVerifyRefusesWhatNoOperatorSigned(t *testing.T) {
+	key, v := signer(t)
+	other, _ := signer(t)
+	s, err := Sign([]byte(good), Stamp{Version: 2, Parent: "aa", Author: "Neema K"}, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	foreign, _ := Sign([]byte(good), Stamp{Version: 2}, other)
+	plain, _ := Sign([]byte("services: 7"), Stamp{Version: 2}, key)
+	tests := map[string]Signed{
+		"altered text":      {Text: s.Text + " ", Signature: s.Signature},
+		"altered stamp":     {Text: s.Text, Signature: strings.Replace(s.Signature, "bundle 2", "bundle 3", 1)},
+		"unsigned":          {Text: s.Text},
+		"other signer":      foreign,
+		"signed but no use": plain,
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			if a, err := v.Verify(x); err == nil {
+				t.Errorf("accepted as version %d", a.Version)
+			}
+		})
+	}
+	a, err := v.Verify(s)
+	if err != nil || a.Version != 2 || a.Parent != "aa" || a.Author != "Neema_K" {
+		t.Errorf("the signed one: %+v, %v", a, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("services: 7"))
+	f.Add([]byte("a: &x [*x]"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		x, err := Decode(b)
+		if (x == nil) == (err == nil) {
+			t.Errorf("bundle %v with error %v", x, err)
+		}
+	})
+}
+
+func FuzzStamp(f *testing.F) {
+	f.Add("pomeloway-bundle 3 -aa- -me-")
+	f.Fuzz(func(t *testing.T, text string) {
+		var s Stamp
+		if s.UnmarshalText([]byte(text)) == nil && s.Version == 0 {
+			t.Error("a stamp without version was read")
+		}
+	})
+}
--- a/bundle/decode.go
+++ b/bundle/decode.go
@@ -23,7 +23,7 @@
 
 // Decode reads a bundle and checks it. The error is of type Findings.
 func Decode(text []byte) (*Bundle, error) {
-	d := &decoder{places: map[string]place{}}
+	d := &decoder{places: map[string]place{}, failed: map[string]bool{}}
 	if len(text) > MaxText {
 		d.add("bundle", fmt.Sprintf("has %d bytes, more than %d; split the services over two fleets", len(text), MaxText))
 		return nil, d.found
@@ -50,6 +50,9 @@
 
 type decoder struct {
 	places map[string]place
+	// failed are the paths that could not be decoded: what the checks would say
+	// of the zero values there is no news.
+	failed map[string]bool
 	found  Findings
 }
 
@@ -57,6 +60,9 @@
 func (d *decoder) add(path, text string) {
 	at := place{line: 1, column: 1}
 	for p := path; p != ""; p = parent(p) {
+		if d.failed[p] {
+			return
+		}
 		if x, ok := d.places[p]; ok {
 			at = x
 			break
@@ -65,6 +71,12 @@
 	d.found = append(d.found, Finding{Line: at.line, Column: at.column, Path: path, Text: text})
 }
 
+// fail records a finding that makes others at the path needless.
+func (d *decoder) fail(path, text string) {
+	d.add(path, text)
+	d.failed[path] = true
+}
+
 func parent(path string) string {
 	i := strings.LastIndexAny(path, ".[")
 	if i < 0 {
@@ -132,8 +144,8 @@
 		}
 		d.value(at, m.Value, f)
 	}
-	if pairs(n) == nil {
-		d.add(path, "must be a mapping")
+	if _, ok := n.(*ast.MappingNode); !ok && pairs(n) == nil {
+		d.fail(path, "must be a mapping")
 	}
 }
 
@@ -150,7 +162,7 @@
 func (d *decoder) items(path string, n ast.Node, v reflect.Value) {
 	s, ok := n.(*ast.SequenceNode)
 	if !ok {
-		d.add(path, "must be a list")
+		d.fail(path, "must be a list")
 		return
 	}
 	v.Set(reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values)))
@@ -161,7 +173,7 @@
 
 func (d *decoder) scalar(path string, n ast.Node, v reflect.Value) {
 	if _, ok := n.(ast.ScalarNode); !ok {
-		d.add(path, "must be a single value")
+		d.fail(path, "must be a single value")
 		return
 	}
 	err := yaml.NodeToValue(n, v.Addr().Interface())
@@ -173,5 +185,5 @@
 	if errors.As(err, &e) {
 		text = e.GetMessage()
 	}
-	d.add(path, strings.ReplaceAll(text, "\n", " "))
+	d.fail(path, strings.ReplaceAll(text, "\n", " "))
 }
--- a/bundle/signed.go
+++ b/bundle/signed.go
@@ -132,3 +132,14 @@
 	err := json.Unmarshal(b, &s)
 	return s, eris.Wrap(err, "signed bundle")
 }
+
+// ClaimedVersion returns the version that the stamp claims, without checking
+// the signature; zero if there is none. It is for showing only.
+func (s Signed) ClaimedVersion() Version {
+	var sig minisign.Signature
+	var t Stamp
+	if sig.UnmarshalText([]byte(s.Signature)) != nil || t.UnmarshalText([]byte(sig.TrustedComment)) != nil {
+		return 0
+	}
+	return t.Version
+}
--- a/cli/run.go
+++ b/cli/run.go
@@ -1,34 +1,157 @@
-// Package cli is the command line.
+// Package cli is the command line: it parses settings and hands over.
 package cli
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"log/slog"
+	"os"
+	"os/user"
 
 	"github.com/alecthomas/kong"
 
+	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/demo"
+	"pomeloway.example/pomeloway/operator"
 )
 
-type options struct {
-	Demo demo.Options `cmd:"" help:"Run a whole site on loopback and break it."`
+// Exit codes.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitNotAccepted = 3
+	exitUnknown     = 4
+	exitBroken      = 5
+)
+
+// streams are where a command writes.
+type streams struct {
+	out, errs io.Writer
+	log       *slog.Logger
 }
 
-// Run runs the command and returns its exit code.
+// Run runs the command line and returns the exit code.
 func Run(args []string, out, errs io.Writer) int {
-	var o options
-	k, err := kong.New(&o, kong.Name("pomeloway"), kong.Writers(out, errs))
+	var o Options
+	code := -1
+	k, err := kong.New(&o,
+		kong.Name("pomeloway"),
+		kong.Description("A layer-4 load balancer for QUIC whose balancers remember no flow."),
+		kong.Writers(out, errs),
+		kong.Vars{"version": "pomeloway " + Version, "user": userName()},
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: helpWidth}),
+		kong.Exit(func(c int) { code = c; panic(exited{}) }),
+	)
+	if err != nil {
+		panic(err) // the options are constants of this program
+	}
+	c, err := parse(k, args)
+	if code >= 0 {
+		return code
+	}
 	if err != nil {
-		panic(err)
+		fmt.Fprintf(errs, "pomeloway: %v\nTry pomeloway --help.\n", err)
+		return exitUsage
 	}
-	_, err = k.Parse(args)
-	if err == nil {
-		err = demo.Run(context.Background(), o.Demo, errs, out)
+	return exitCode(dispatch(c, &o, streams{out: out, errs: errs, log: o.logger(errs)}), errs)
+}
+
+const helpWidth = 100
+
+// exited ends the parsing after help or version were printed.
+type exited struct{}
+
+func parse(k *kong.Kong, args []string) (c *kong.Context, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			if _, ok := r.(exited); !ok {
+				panic(r)
+			}
+		}
+	}()
+	if len(args) == 0 {
+		args = []string{"--help"}
 	}
+	return k.Parse(args)
+}
+
+func userName() string {
+	u, err := user.Current()
 	if err != nil {
-		fmt.Fprintln(errs, "pomeloway:", err)
-		return 1
+		return ""
+	}
+	return u.Username
+}
+
+func (o *Options) logger(w io.Writer) *slog.Logger {
+	h := &slog.HandlerOptions{Level: o.LogLevel}
+	if o.LogFormat == "text" {
+		return slog.New(slog.NewTextHandler(w, h))
+	}
+	return slog.New(slog.NewJSONHandler(w, h))
+}
+
+// dispatch hands over to the command.
+func dispatch(c *kong.Context, o *Options, s streams) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	switch c.Command() {
+	case "balancer":
+		return runBalancer(o.Balancer, s)
+	case "agent":
+		return runAgent(o.Agent, s)
+	case "demo":
+		return runDemo(ctx, o.Demo, s)
+	case "status":
+		return runStatus(ctx, o.Status, s)
+	case "key new":
+		return keyNew(o.Key.New, s)
+	case "key operator <file>":
+		return keyOperator(o.Key.Operator, s)
+	case "zone out <zone>":
+		return zoneMove(ctx, o.Zone.Out, bundle.ZoneStateOut, s)
+	case "zone in <zone>":
+		return zoneMove(ctx, o.Zone.In, bundle.ZoneStateIn, s)
+	case "standin platform":
+		return standinPlatform(o.Standin.Platform, s)
+	case "standin fabric":
+		return standinFabric(o.Standin.Fabric, s)
+	case "standin upstream":
+		return standinUpstream(o.Standin.Upstream, s)
+	}
+	return dispatchBundle(ctx, c.Command(), &o.Bundle, s)
+}
+
+func runDemo(ctx context.Context, o demo.Options, s streams) error {
+	ctx, stop := signalContext(ctx)
+	defer stop()
+	return demo.Run(ctx, o, s.errs, s.out)
+}
+
+// exitCode prints the error and returns the code that tells it apart.
+func exitCode(err error, w io.Writer) int {
+	var f bundle.Findings
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &f):
+		fmt.Fprintln(w, f.Error())
+		fmt.Fprintf(w, "pomeloway: %d finding(s); nothing was accepted\n", len(f))
+		return exitUsage
+	}
+	fmt.Fprintln(w, "pomeloway:", err)
+	switch {
+	case errors.Is(err, operator.ErrUnknown):
+		return exitUnknown
+	case errors.Is(err, operator.ErrNotAccepted):
+		return exitNotAccepted
+	case errors.Is(err, demo.ErrBroken):
+		return exitBroken
+	case errors.Is(err, os.ErrNotExist):
+		return exitUsage
 	}
-	return 0
+	return exitFailed
 }
--- /dev/null
+++ b/cli/standin.go
@@ -0,0 +1,119 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
+
+	"pomeloway.example/pomeloway/standin"
+)
+
+func standinPlatform(o StandinPlatform, s streams) error {
+	p := &standin.Platform{ReadLimit: limiter(o.Reads), WriteLimit: limiter(o.Writes)}
+	return serveHTTP(o.Listen, p, "platform", s)
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(max(perSecond, 1)))
+}
+
+func standinUpstream(o StandinUpstream, s streams) error {
+	u := &standin.Upstream{
+		Service: o.Service, Name: o.Name, Zone: o.Zone, Slots: o.Slots,
+		ColdSlots: o.Cold, ColdAnswers: o.Answers, Work: o.Work, Ledger: &standin.Ledger{},
+	}
+	return serveHTTP(o.Listen, u.Handler(), "upstream "+o.Name, s)
+}
+
+// serveHTTP serves until a signal, then lets running requests end.
+func serveHTTP(a netip.AddrPort, h http.Handler, name string, s streams) error {
+	l, err := net.Listen("tcp", a.String())
+	if err != nil {
+		return eris.Wrap(err, "--listen")
+	}
+	fmt.Fprintf(s.errs, "stand-in for the %s serves on %s\n", name, l.Addr())
+	v := &http.Server{Handler: h}
+	ctx, stop := signalContext(context.Background())
+	defer stop()
+	var g run.Group
+	g.Add(func() error { return v.Serve(l) }, func(error) { v.Close() })
+	g.Add(func() error { <-ctx.Done(); return nil }, func(error) { stop() })
+	return g.Run()
+}
+
+const fabricPoll = 500 * time.Millisecond
+
+func standinFabric(o StandinFabric, s streams) error {
+	f := standin.NewFabric()
+	for _, a := range o.Service {
+		if err := f.Open(a); err != nil {
+			return eris.Wrap(err, "--service")
+		}
+	}
+	ctx, stop := signalContext(context.Background())
+	defer stop()
+	var g run.Group
+	g.Add(func() error { return pollReady(ctx, f, o) }, func(error) { stop(); f.Close() })
+	fmt.Fprintf(s.errs, "stand-in for the fabric serves %v\n", o.Service)
+	return g.Run()
+}
+
+// pollReady gives the fabric the balancers that say they are ready, and those
+// that fell silent for a while longer, as a real fabric does.
+func pollReady(ctx context.Context, f *standin.Fabric, o StandinFabric) error {
+	last := map[string]time.Time{}
+	c := &http.Client{Timeout: fabricPoll}
+	for {
+		var live []netip.Addr
+		for _, b := range o.Balancer {
+			ip, page, _ := strings.Cut(b, "@")
+			a, err := netip.ParseAddr(ip)
+			if err != nil {
+				return eris.Wrap(err, "--balancer")
+			}
+			ready, reached := askReady(ctx, c, page)
+			if ready {
+				last[b] = time.Now()
+			}
+			if ready || !reached && time.Since(last[b]) < o.Stale {
+				live = append(live, a)
+			}
+		}
+		for _, svc := range o.Service {
+			var to []netip.AddrPort
+			for _, a := range live {
+				to = append(to, netip.AddrPortFrom(a, svc.Port()))
+			}
+			f.Set(svc, to)
+		}
+		select {
+		case <-time.After(fabricPoll):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func askReady(ctx context.Context, c *http.Client, page string) (ready, reached bool) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+page+"/readyz", nil)
+	if err != nil {
+		return false, true
+	}
+	a, err := c.Do(r)
+	if err != nil {
+		return false, false
+	}
+	a.Body.Close()
+	return a.StatusCode == http.StatusOK, true
+}
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,105 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/operator"
+	"pomeloway.example/pomeloway/platform"
+)
+
+const statusPoll = 250 * time.Millisecond
+
+// runStatus prints who is there, and with --wait waits for the laggards.
+func runStatus(ctx context.Context, o StatusOptions, s streams) error {
+	if o.Platform == "" && !o.From.IsValid() {
+		return eris.New("status: give --platform ($POMELOWAY_PLATFORM) or --from")
+	}
+	ctx, stop := context.WithTimeout(ctx, o.Timeout)
+	defer stop()
+	for {
+		rows, want, err := look(ctx, o)
+		if err != nil {
+			return err
+		}
+		late := operator.Lagging(rows, want)
+		if !o.Wait || len(late) == 0 {
+			return printStatus(rows, o.JSON, s)
+		}
+		select {
+		case <-time.After(statusPoll):
+		case <-ctx.Done():
+			printStatus(rows, o.JSON, s)
+			return eris.Errorf("version %d is not in force in: %s", want, names(late))
+		}
+	}
+}
+
+func names(rows []operator.Row) string {
+	var n []string
+	for _, r := range rows {
+		n = append(n, string(r.Member.ID))
+	}
+	return strings.Join(n, ", ")
+}
+
+// look asks everybody once, and finds the version that must be in force.
+func look(ctx context.Context, o StatusOptions) ([]operator.Row, bundle.Version, error) {
+	var v operator.Survey
+	c := &platform.Client{URL: o.Platform, Token: o.Token}
+	var ms []fleet.Member
+	var err error
+	if o.From.IsValid() {
+		ms, err = v.MembersFrom(ctx, o.From.String())
+	} else {
+		ms, err = operator.Members(ctx, c)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	rows := v.Ask(ctx, ms)
+	return rows, max(operator.Newest(rows), stored(ctx, c, o)), nil
+}
+
+// stored returns the version that the platform holds, unless it is not asked.
+func stored(ctx context.Context, c *platform.Client, o StatusOptions) bundle.Version {
+	if o.From.IsValid() {
+		return 0
+	}
+	x, err := c.Get(ctx, platform.KindBundle, "current")
+	if err != nil {
+		return 0
+	}
+	b, err := bundle.DecodeSigned(x.Value)
+	if err != nil {
+		return 0
+	}
+	return b.ClaimedVersion()
+}
+
+func printStatus(rows []operator.Row, asJSON bool, s streams) error {
+	if asJSON {
+		e := json.NewEncoder(s.out)
+		e.SetIndent("", "  ")
+		return e.Encode(rows)
+	}
+	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tZONE\tPHASE\tVERSION\tREADY\tERROR")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%t\t%s\n", r.Member.ID, r.Member.Zone, r.Member.Phase, r.Version, r.Ready, firstLine(r.Error))
+	}
+	return w.Flush()
+}
+
+func firstLine(s string) string {
+	l, _, _ := strings.Cut(s, "\n")
+	return l
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -52,13 +52,12 @@
 	verifier *bundle.Verifier
 	epoch    uint64
 
-	mu        sync.Mutex
-	revision  uint64
-	members   map[MemberID]*held[Member]
-	opinions  map[opinionKey]*held[Opinion]
-	accepted  *bundle.Accepted
-	bundleRev uint64
-	changed   chan struct{}
+	mu       sync.Mutex
+	revision uint64
+	members  map[MemberID]*held[Member]
+	opinions map[opinionKey]*held[Opinion]
+	accepted *bundle.Accepted
+	changed  chan struct{}
 }
 
 // NewState returns an empty State that takes bundles of the verifier's keys.
--- a/link/link.go
+++ b/link/link.go
@@ -172,8 +172,9 @@
 			continue
 		}
 		t0, t1 := siphash.Hash128(k.k0, k.k1, b[:atTag])
-		d := t0 ^ binary.BigEndian.Uint64(b[atTag:]) | t1 ^ binary.BigEndian.Uint64(b[atTag+8:])
-		return d == 0
+		d0 := t0 ^ binary.BigEndian.Uint64(b[atTag:])
+		d1 := t1 ^ binary.BigEndian.Uint64(b[atTag+8:])
+		return d0|d1 == 0
 	}
 	return false
 }
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,127 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/platform"
+	"pomeloway.example/pomeloway/process"
+)
+
+// Row is what one member says of itself.
+type Row struct {
+	Member  fleet.Member   `json:"member"`
+	Reached bool           `json:"reached"`
+	Ready   bool           `json:"ready"`
+	Version bundle.Version `json:"version"`
+	Error   string         `json:"error,omitempty"`
+}
+
+// Survey asks members which bundle is in force there.
+type Survey struct {
+	HTTP *http.Client
+}
+
+const (
+	// askAtOnce bounds the calls that run together.
+	askAtOnce  = 32
+	askTimeout = 2 * time.Second
+)
+
+// Members reads the members from the platform.
+func Members(ctx context.Context, c *platform.Client) ([]fleet.Member, error) {
+	l, err := c.List(ctx, 0, 0, platform.KindMember)
+	if err != nil {
+		return nil, err
+	}
+	var ms []fleet.Member
+	for _, o := range l.Objects {
+		var m fleet.Member
+		if json.Unmarshal(o.Value, &m) == nil && m.Phase != fleet.PhaseLeft {
+			ms = append(ms, m)
+		}
+	}
+	return ms, nil
+}
+
+// MembersFrom reads the members from one process, for when the platform is down.
+func (s *Survey) MembersFrom(ctx context.Context, operator string) ([]fleet.Member, error) {
+	var v process.Status
+	if err := s.get(ctx, "http://"+operator+"/state", &v); err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(v.Members, func(m fleet.Member) bool { return m.Phase == fleet.PhaseLeft }), nil
+}
+
+// Ask returns a row for each member, ordered by id.
+func (s *Survey) Ask(ctx context.Context, ms []fleet.Member) []Row {
+	rows := make([]Row, len(ms))
+	slots := make(chan struct{}, askAtOnce)
+	var w sync.WaitGroup
+	for i, m := range ms {
+		slots <- struct{}{}
+		w.Go(func() {
+			rows[i] = s.askOne(ctx, m)
+			<-slots
+		})
+	}
+	w.Wait()
+	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(string(a.Member.ID), string(b.Member.ID)) })
+	return rows
+}
+
+func (s *Survey) askOne(ctx context.Context, m fleet.Member) Row {
+	var v process.Version
+	if err := s.get(ctx, "http://"+m.Operator+"/version", &v); err != nil {
+		return Row{Member: m, Error: err.Error()}
+	}
+	return Row{Member: m, Reached: true, Ready: v.Ready, Version: v.Version}
+}
+
+func (s *Survey) get(ctx context.Context, url string, v any) error {
+	ctx, stop := context.WithTimeout(ctx, askTimeout)
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return eris.Wrap(err, "status")
+	}
+	c := s.HTTP
+	if c == nil {
+		c = http.DefaultClient
+	}
+	a, err := c.Do(r)
+	if err != nil {
+		return eris.Wrap(err, "status")
+	}
+	defer a.Body.Close()
+	return eris.Wrap(json.NewDecoder(a.Body).Decode(v), "status")
+}
+
+// Lagging returns the rows in which a version below v is in force.
+func Lagging(rows []Row, v bundle.Version) []Row {
+	var out []Row
+	for _, r := range rows {
+		if r.Version < v {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Newest returns the highest version in force anywhere.
+func Newest(rows []Row) bundle.Version {
+	var v bundle.Version
+	for _, r := range rows {
+		v = max(v, r.Version)
+	}
+	return v
+}
--- a/process/process.go
+++ b/process/process.go
@@ -48,8 +48,9 @@
 	f.Address("--link", o.Link)
 	f.Address("--peer", o.Peer)
 	f.Address("--operator", o.Operator)
-	f.Want(o.Link.Addr().Is4(), "--link", "must be an IPv4 address")
 	f.Want(len(o.Platform) > 8 && (o.Platform[:7] == "http://" || o.Platform[:8] == "https://"), "--platform", "must be an http or https URL")
+	f.Want(len(o.Keys) > 0, "--keys", "is missing; `pomeloway key new` makes one")
+	f.Want(len(o.Trust) > 0, "--trust", "is missing; `pomeloway key operator` makes one")
 	_, err := keyring.Parse(o.Keys)
 	f.Err("--keys", err)
 	_, err = bundle.NewVerifier(o.Trust)
@@ -166,13 +167,34 @@
 		}
 		io.WriteString(w, "ready\n")
 	})
-	m.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(p.Status())
-	})
+	m.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Status()) })
+	m.HandleFunc("GET /version", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Version()) })
 	return m
 }
 
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
+// Version is the short answer of /version, which `pomeloway status` asks for.
+type Version struct {
+	ID           fleet.MemberID `json:"id"`
+	Ready        bool           `json:"ready"`
+	Version      bundle.Version `json:"version"`
+	Digest       bundle.Digest  `json:"digest,omitempty"`
+	PlatformDown bool           `json:"platformDown"`
+}
+
+// Version returns which bundle is in force here.
+func (p *Process) Version() Version {
+	v := Version{ID: p.Node.Self().ID, Ready: p.ready.Load(), PlatformDown: p.Node.PlatformDown()}
+	if a := p.State.Accepted(); a != nil {
+		v.Version, v.Digest = a.Version, a.Digest
+	}
+	return v
+}
+
 // Status is the JSON view of a process. It holds no secret.
 type Status struct {
 	Self          fleet.Member    `json:"self"`
