--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,207 @@
+package fleet
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"aead.dev/minisign"
+	"pgregory.net/rapid"
+
+	"pomeloway.example/pomeloway/bundle"
+)
+
+func member(r Role, host byte, zone bundle.ZoneID) Member {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(zone), host}), 7001)
+	m := Member{ID: NewID(r, a), Role: r, Zone: zone, Link: a, Peer: netip.AddrPortFrom(a.Addr(), 7002), Incarnation: 1, Phase: PhaseReady}
+	if r == RoleAgent {
+		m.Service = 1
+	}
+	return m
+}
+
+// Views travel by any path, late, twice and crossed. Whatever the order, all
+// processes must end with the same view, or balancers would send the datagrams
+// of one opening to different agents for good.
+func TestMergeEndsAlikeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var parts []Change
+		for range rapid.IntRange(1, 12).Draw(t, "parts") {
+			m := member(RoleAgent, byte(rapid.IntRange(1, 3).Draw(t, "host")), 1)
+			m.Incarnation = Incarnation(rapid.IntRange(1, 3).Draw(t, "life"))
+			m.Revision = Revision(rapid.IntRange(0, 3).Draw(t, "revision"))
+			// One life's revision has one content, since its owner alone writes it.
+			m.Phase = []Phase{PhaseReady, PhaseLeaving, PhaseLeft}[int(m.Revision)%3]
+			o := Opinion{Observer: "b", Subject: m.ID, Life: m.Incarnation, Stamp: uint64(rapid.IntRange(1, 5).Draw(t, "stamp"))}
+			o.Doubted = o.Stamp%2 == 0
+			o.Life = Incarnation(o.Stamp)
+			parts = append(parts, Change{Members: []Member{m}, Opinions: []Opinion{o}})
+		}
+		a, b := NewState(nil), NewState(nil)
+		for _, p := range parts {
+			a.Merge(p)
+		}
+		for _, i := range rapid.Permutation(indexes(len(parts))).Draw(t, "order") {
+			b.Merge(parts[i])
+			b.Merge(parts[i])
+		}
+		am, ao := a.Snapshot()
+		bm, bo := b.Snapshot()
+		if !reflect.DeepEqual(am, bm) || len(ao) != len(bo) {
+			t.Fatalf("views differ: %v %v, %v %v", am, ao, bm, bo)
+		}
+	})
+}
+
+func indexes(n int) []int {
+	x := make([]int, n)
+	for i := range x {
+		x[i] = i
+	}
+	return x
+}
+
+func TestSinceGivesWhatIsNew(t *testing.T) {
+	s := NewState(nil)
+	s.Merge(Change{Members: []Member{member(RoleAgent, 1, 1)}})
+	first := s.Since(0, 0, 0)
+	s.Merge(Change{Members: []Member{member(RoleAgent, 2, 1)}})
+	for name, x := range map[string]struct {
+		epoch, revision uint64
+		want            int
+	}{
+		"from the first":       {first.Epoch, first.Revision, 1},
+		"from nothing":         {0, 0, 2},
+		"from another life":    {first.Epoch + 1, first.Revision, 2},
+		"from the future":      {first.Epoch, 99, 2},
+		"from the present one": {first.Epoch, 2, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if c := s.Since(x.epoch, x.revision, 0); len(c.Members) != x.want {
+				t.Errorf("%d members, want %d", len(c.Members), x.want)
+			}
+		})
+	}
+}
+
+// A slow peer, or a platform that was restored from last night's copy, offers a
+// bundle that was in force before. Taking it would silently undo what operators
+// were told is in force.
+func TestBundleNeverGoesBack(t *testing.T) {
+	pub, key, _ := minisign.GenerateKey(rand.Reader)
+	v, _ := bundle.NewVerifier([]string{pub.String()})
+	s := NewState(v)
+	signed := func(version bundle.Version, comment string) *bundle.Signed {
+		text := fmt.Sprintf("# %s\nzones: [{id: 1, name: z, state: in}]\nkeys: [{id: 1, fingerprint: ab}]\ncurrentKey: 1\nservices: []\n", comment)
+		b, err := bundle.Sign([]byte(text), bundle.Stamp{Version: version}, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &b
+	}
+	for _, x := range []struct {
+		name    string
+		version bundle.Version
+		taken   bool
+		want    bundle.Version
+	}{{"first", 2, true, 2}, {"newer", 5, true, 5}, {"older", 4, false, 5}, {"same version, other text", 5, false, 5}, {"first again", 2, false, 5}} {
+		m := s.Merge(Change{Bundle: signed(x.version, x.name)})
+		if m.Bundle != x.taken || s.Accepted().Version != x.want {
+			t.Errorf("%s: taken %t (%v), in force %d", x.name, m.Bundle, m.Err, s.Accepted().Version)
+		}
+	}
+	if m := s.Merge(Change{Bundle: &bundle.Signed{Text: "services: []"}}); m.Bundle || m.Err == nil {
+		t.Error("an unsigned bundle was taken")
+	}
+}
+
+// One balancer loses its link and hears nobody. If its word were enough, every
+// agent would be taken for dead and openings would crowd onto the few others.
+func TestVerdictWantsTwoObserversOrALastingDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewState(nil)
+		m := member(RoleAgent, 1, 1)
+		s.Merge(Change{Members: []Member{m}})
+		say := func(by MemberID, doubted bool, life Incarnation) {
+			s.Merge(Change{Opinions: []Opinion{{Observer: by, Subject: m.ID, Life: life, Doubted: doubted, Stamp: uint64(time.Now().UnixMicro())}}})
+			time.Sleep(time.Millisecond)
+		}
+		check := func(what string, want bool) {
+			t.Helper()
+			if s.Doubted()[m.ID] != want {
+				t.Errorf("%s: doubted %t", what, !want)
+			}
+		}
+		say("b1", true, 1)
+		check("one doubts", false)
+		say("b2", true, 1)
+		check("two doubt", true)
+		say("b2", false, 1)
+		check("one takes it back", false)
+		time.Sleep(loneDoubt + time.Second)
+		check("the other's doubt lasts", true)
+		m.Incarnation = 2
+		s.Merge(Change{Members: []Member{m}})
+		check("the next life", false)
+	})
+}
+
+func TestCollectForgetsTheDeadInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewState(nil)
+		m := member(RoleAgent, 1, 1)
+		m.Phase = PhaseLeft
+		s.Merge(Change{Members: []Member{m}, Opinions: []Opinion{{Observer: "b", Subject: m.ID, Life: 1, Stamp: 1}}})
+		s.Collect()
+		if ms, _ := s.Snapshot(); len(ms) != 1 {
+			t.Fatal("a late copy of this life would be taken for a new member")
+		}
+		time.Sleep(tombstoneLife + time.Second)
+		s.Collect()
+		if ms, os := s.Snapshot(); len(ms)+len(os) != 0 {
+			t.Errorf("kept for good: %v %v", ms, os)
+		}
+	})
+}
+
+func TestRankMovesOnlyWhatMust(t *testing.T) {
+	var ms []Member
+	for i := range 10 {
+		ms = append(ms, member(RoleAgent, byte(i+1), 1))
+	}
+	moved, load := 0, map[MemberID]int{}
+	const keys = 10_000
+	for k := range uint64(keys) {
+		h := Mix(k, 99)
+		before, after := Rank(h, ms, 1)[0], Rank(h, ms[1:], 1)[0]
+		load[before.ID]++
+		if before.ID != after.ID && before.ID != ms[0].ID {
+			moved++
+		}
+	}
+	if moved != 0 {
+		t.Errorf("%d keys moved between members that stayed", moved)
+	}
+	for id, n := range load {
+		if n < keys/10*8/10 || n > keys/10*12/10 {
+			t.Errorf("%s has %d of %d keys", id, n, keys)
+		}
+	}
+}
+
+func FuzzMember(f *testing.F) {
+	b, _ := json.Marshal(member(RoleAgent, 1, 1))
+	f.Add(b)
+	f.Add([]byte(`{"id":"agent-[::1]:1","role":"agent","link":"[::1]:1"}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Member
+		if json.Unmarshal(b, &m) == nil && m.Check() != nil {
+			t.Errorf("decoded a member that fails its own check: %v", m.Check())
+		}
+	})
+}
