--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,8 @@
 	kill     chan struct{}
 	killed   sync.Once
 	ticks    int
+	// crossed and dropped are the counts that were logged last.
+	crossed, dropped uint64
 }
 
 // New prepares an agent and opens its sockets.
@@ -79,6 +82,9 @@
 	a.disp.timeouts.Store(&d)
 	a.front.orders = &orders{d: a.disp, home: self.Peer, life: self.Incarnation, state: a.State}
 	a.conn = newConn(s, o.Service, o.Zone, self.Incarnation, a.admitFlow, a.flows.len, a.Log)
+	a.conn.paths.moved = func(live []netip.AddrPort) {
+		a.Log.Add(events.FlowBalancer, slog.Any("balancers", live))
+	}
 	a.rekey(a.Keys())
 	a.serveFlows(t, self)
 	a.SetState(func() any { return a.Counts() })
@@ -198,6 +204,10 @@
 const collectEvery = 240
 
 func (a *Agent) collect() {
+	if c, d := a.disp.client.Crossed.Load(), a.disp.client.Dropped.Load(); c != a.crossed || d != a.dropped {
+		a.Log.Add(events.AnswerDropped, slog.Uint64("crossed", c-a.crossed), slog.Uint64("dropped", d-a.dropped))
+		a.crossed, a.dropped = c, d
+	}
 	if a.ticks++; a.ticks%collectEvery == 0 {
 		a.front.orders.journal.Collect(time.Now())
 	}
--- a/agent/conn.go
+++ b/agent/conn.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,8 +14,6 @@
 	"pomeloway.example/pomeloway/quiclb"
 )
 
-func sortAddrs(as []netip.AddrPort) { slices.SortFunc(as, netip.AddrPort.Compare) }
-
 // conn is the net.PacketConn under quic-go. It strips the links' headers from
 // callers' datagrams and adds them to answers; heartbeats and openings that
 // belong elsewhere are dealt with on the way and never reach quic-go.
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// live are those heard lately, in a fixed order; spare are the rest that
 	// the fleet's view names, for an agent nobody has spoken to yet.
 	live, spare []netip.AddrPort
+	// moved is told of each change of live.
+	moved func(live []netip.AddrPort)
 }
 
 // beat notes a heartbeat from a balancer.
@@ -73,8 +76,12 @@
 		}
 		live = append(live, a)
 	}
-	sortAddrs(live)
+	slices.SortFunc(live, netip.AddrPort.Compare)
+	changed := !slices.Equal(live, p.live)
 	p.live = live
+	if changed && p.moved != nil {
+		p.moved(live)
+	}
 }
 
 // pick returns the balancer for the caller's answers. All datagrams of a flow
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -32,14 +32,16 @@
 
 // Merged says what a merge changed and refused.
 type Merged struct {
-	Members, Opinions, Refused int
-	Bundle                     bool
+	// Joined and Changed are the members that are new or have a new record.
+	Joined, Changed   []Member
+	Opinions, Refused int
+	Bundle            bool
 	// Err tells why a bundle was refused.
 	Err error
 }
 
 // Any reports whether anything changed.
-func (m Merged) Any() bool { return m.Bundle || m.Members+m.Opinions > 0 }
+func (m Merged) Any() bool { return m.Bundle || len(m.Joined)+len(m.Changed)+m.Opinions > 0 }
 
 type held[T any] struct {
 	v        T
@@ -162,7 +164,7 @@
 	for n := range c.Opinions {
 		s.mergeOpinion(&c.Opinions[n], &m)
 	}
-	if m.Members+m.Opinions > 0 {
+	if len(m.Joined)+len(m.Changed)+m.Opinions > 0 {
 		s.wake()
 	}
 	return m
@@ -185,7 +187,11 @@
 	}
 	s.revision++
 	s.members[v.ID] = &held[Member]{v: *v, revision: s.revision, since: time.Now()}
-	m.Members++
+	if ok {
+		m.Changed = append(m.Changed, *v)
+	} else {
+		m.Joined = append(m.Joined, *v)
+	}
 }
 
 func (s *State) mergeOpinion(v *Opinion, m *Merged) {
--- a/operator/accept.go
+++ b/operator/accept.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"aead.dev/minisign"
 	"github.com/cenkalti/backoff/v5"
@@ -114,8 +115,18 @@
 	return bundle.Sign(text, s, key)
 }
 
-// acceptTries bounds how often a write whose answer was lost is read back.
-const acceptTries = 8
+const (
+	// acceptTries bounds how often a write whose answer was lost is read back.
+	acceptTries = 10
+	// acceptFirst is the first wait before reading back; it doubles, jittered.
+	acceptFirst = 50 * time.Millisecond
+)
+
+func acceptBackoff() backoff.BackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = acceptFirst
+	return b
+}
 
 // Accept brings the signed bundle into force if its parent still is.
 //
@@ -147,7 +158,7 @@
 		}
 		return mine, nil
 	}
-	a, err := backoff.Retry(ctx, op, backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxTries(acceptTries))
+	a, err := backoff.Retry(ctx, op, backoff.WithBackOff(acceptBackoff()), backoff.WithMaxTries(acceptTries))
 	switch {
 	case err == nil:
 		return a, nil
--- a/peer/node.go
+++ b/peer/node.go
@@ -245,11 +245,19 @@
 		a := n.State.Accepted()
 		n.Log.Add(events.BundleInForce, slog.Uint64("version", uint64(a.Version)), slog.String("digest", string(a.Digest)), slog.String("from", from))
 	}
+	n.logMembers(events.MemberJoined, m.Joined)
+	n.logMembers(events.MemberChanged, m.Changed)
 	for i := range c.Members {
 		n.heard(&c.Members[i])
 	}
 }
 
+func (n *Node) logMembers(id events.ID, ms []fleet.Member) {
+	for _, m := range ms {
+		n.Log.Add(id, slog.String("member", string(m.ID)), slog.Int("zone", int(m.Zone)), slog.String("phase", string(m.Phase)))
+	}
+}
+
 // heard notices that the fleet holds another life of this very member.
 func (n *Node) heard(m *fleet.Member) {
 	n.mu.Lock()
