Forget old openings after a quiet time, and drop callers without IPv4

Cause: new tests of the agent's end of the link showed two faults. The table of openings turned once on the first look after a quiet hour, so an hour-old refusal still counted; and a header naming an IPv6 caller, which only a faulty process of the fleet would send, ended the agent with a panic in the choice of the return path. Change: a gap of two lifetimes drops both generations; the caller's address is checked where datagrams of other services are.

--- a/agent/conn.go
+++ b/agent/conn.go
@@ -32,9 +32,9 @@
 	taken   openings
 	refused refusals
 
-	// Unknown counts messages without a valid tag, Unrouted answers for which
-	// no balancer was known.
-	Unknown, Unrouted, Passed, Moved atomic.Uint64
+	// Unknown counts messages without a valid tag, Foreign those of another
+	// service, Unrouted answers for which no balancer was known.
+	Unknown, Foreign, Unrouted, Passed atomic.Uint64
 
 	batch *link.Batch
 	next  int
@@ -73,17 +73,18 @@
 		c.Unknown.Add(1)
 		return nil, netip.AddrPort{}
 	}
-	switch m.Kind {
-	case link.KindHeartbeat:
+	if m.Kind == link.KindHeartbeat {
 		c.answerHeartbeat(&m, from)
-	case link.KindForward:
-		if m.Service == c.service {
-			return payload, m.Caller
-		}
-	case link.KindOpen:
-		if m.Service == c.service && c.open(&m, p, payload) {
-			return payload, m.Caller
-		}
+		return nil, netip.AddrPort{}
+	}
+	// A letter's datagram must not open or feed a flow of another service, and
+	// an answer to anything but IPv4 can't be sent.
+	if m.Service != c.service || !m.Caller.Addr().Is4() {
+		c.Foreign.Add(1)
+		return nil, netip.AddrPort{}
+	}
+	if m.Kind == link.KindForward || m.Kind == link.KindOpen && c.open(&m, p, payload) {
+		return payload, m.Caller
 	}
 	return nil, netip.AddrPort{}
 }
--- /dev/null
+++ b/agent/conn_test.go
@@ -0,0 +1,198 @@
+package agent
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/keyring"
+	"pomeloway.example/pomeloway/link"
+)
+
+var (
+	secret   = keyring.NewSecret(1)
+	someone  = netip.MustParseAddrPort("198.51.100.7:4433")
+	balancer = netip.MustParseAddrPort("127.0.0.1:9")
+)
+
+// listener is the next agent in the list of candidates.
+func listener(t *testing.T) *link.Socket {
+	t.Helper()
+	s, err := link.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func testConn(t *testing.T, admit func() events.Reason) *conn {
+	t.Helper()
+	c := newConn(listener(t), 1, 1, 7, admit, func() int { return 0 }, nil)
+	ks := link.NewKeys(keyring.Ring{secret})
+	c.keys.Store(&ks)
+	return c
+}
+
+func opens(id uint64) []byte {
+	return append(binary.BigEndian.AppendUint64([]byte{0xc0, 0, 0, 0, 1, 8}, id), make([]byte, 100)...)
+}
+
+// arrive builds the datagram of an opening as a balancer sends it.
+func arrive(m link.Message, payload []byte) []byte {
+	b := append(make([]byte, link.HeaderSize), payload...)
+	m.Kind = link.KindOpen
+	if m.Service == 0 {
+		m.Service = 1
+	}
+	if !m.Caller.IsValid() {
+		m.Caller = someone
+	}
+	link.NewKey(secret).Put(b, &m)
+	return b
+}
+
+// A ClientHello with today's key exchange fills two datagrams. The first finds
+// the agent full, and is passed on; then a flow ends, and the second arrives, or
+// the first again. If it were taken here now, each of two agents would hold half
+// a handshake, and the caller would wait until it gives up.
+func TestAllDatagramsOfAnOpeningFollowTheFirst(t *testing.T) {
+	next := listener(t)
+	for name, x := range map[string]struct {
+		first, then events.Reason
+		here        bool
+	}{
+		"full, then free":    {events.ReasonFull, "", false},
+		"free, then full":    {"", events.ReasonFull, true},
+		"free, then leaving": {"", events.ReasonLeaving, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			why := x.first
+			c := testConn(t, func() events.Reason { return why })
+			m := link.Message{Count: 2, Candidates: [link.MaxCandidates]netip.AddrPort{c.socket.Addr(), next.Addr()}}
+			for i := range 4 {
+				p, _ := c.handle(arrive(m, opens(5)), balancer)
+				if (p != nil) != x.here {
+					t.Errorf("datagram %d taken here: %t", i, p != nil)
+				}
+				why = x.then
+			}
+			if p, _ := c.handle(arrive(m, opens(6)), balancer); (p != nil) != (x.then == "") {
+				t.Error("another opening was decided by the first one's fate")
+			}
+		})
+	}
+}
+
+func TestPassedOpeningNamesItsNextCandidate(t *testing.T) {
+	next := listener(t)
+	c := testConn(t, func() events.Reason { return events.ReasonFull })
+	c.handle(arrive(link.Message{Count: 2, Candidates: [link.MaxCandidates]netip.AddrPort{c.socket.Addr(), next.Addr()}}, opens(5)), balancer)
+	b := make([]byte, 2048)
+	n, err := next.Read(b)
+	var m link.Message
+	p, ok := (*c.keys.Load()).Get(b[:n], &m)
+	if err != nil || !ok || m.Position != 1 || m.Caller != someone || string(p) != string(opens(5)) {
+		t.Errorf("the next agent read %+v, %t, %v", m, ok, err)
+	}
+}
+
+// Every agent is full. The caller must hear so at once and truthfully from the
+// last one, not run into its own time-out; and a caller that was refused once
+// must be able to open a flow when there is room again.
+func TestLastCandidateRefusesAtOnce(t *testing.T) {
+	why := events.ReasonFull
+	c := testConn(t, func() events.Reason { return why })
+	m := link.Message{Count: 1, Candidates: [link.MaxCandidates]netip.AddrPort{c.socket.Addr()}}
+	if p, _ := c.handle(arrive(m, opens(5)), balancer); p == nil || !c.refused.has(someone, time.Now()) {
+		t.Error("the opening was not given to quic-go to refuse")
+	}
+	why = ""
+	if p, _ := c.handle(arrive(m, opens(6)), balancer); p == nil || c.refused.has(someone, time.Now()) {
+		t.Error("the next opening of the caller is refused, too")
+	}
+}
+
+// A datagram of another service reaches this agent: an address was reused, or
+// a balancer's view is old. A letter must not open a flow to scan intake.
+func TestDatagramsOfOtherServicesAreNotTaken(t *testing.T) {
+	c := testConn(t, func() events.Reason { return "" })
+	m := link.Message{Service: 2, Count: 1, Candidates: [link.MaxCandidates]netip.AddrPort{c.socket.Addr()}}
+	if p, _ := c.handle(arrive(m, opens(5)), balancer); p != nil {
+		t.Error("an opening of another service was taken")
+	}
+	b := append(make([]byte, link.HeaderSize), 0x40)
+	link.NewKey(secret).Put(b, &link.Message{Kind: link.KindForward, Service: 2, Caller: someone})
+	if p, _ := c.handle(b, balancer); p != nil {
+		t.Error("a datagram of another service was taken")
+	}
+}
+
+// A process of the fleet with a fault names a caller that can't be answered. The
+// agent must drop the datagram, not end with a panic and all its flows.
+func TestCallerWithoutIPv4IsDropped(t *testing.T) {
+	c := testConn(t, func() events.Reason { return "" })
+	m := link.Message{Count: 1, Caller: netip.MustParseAddrPort("[2001:db8::1]:1"), Candidates: [link.MaxCandidates]netip.AddrPort{c.socket.Addr()}}
+	if p, _ := c.handle(arrive(m, opens(5)), balancer); p != nil {
+		t.Error("it was taken")
+	}
+}
+
+// A feed only speaks; its caller says nothing for minutes. When the balancer it
+// used dies, the agent must find another by itself within the time that QUIC
+// goes on repeating.
+func TestReturnPathMovesWithoutTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p paths
+		a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+		for range 4 {
+			p.beat(a, 1, time.Now())
+			p.beat(b, 1, time.Now())
+			time.Sleep(500 * time.Millisecond)
+		}
+		dead, _ := p.pick(someone)
+		alive := a
+		if dead == a {
+			alive = b
+		}
+		start := time.Now()
+		for {
+			p.beat(alive, 1, time.Now())
+			p.expire(time.Now())
+			if got, ok := p.pick(someone); ok && got == alive {
+				break
+			}
+			time.Sleep(250 * time.Millisecond)
+		}
+		if d := time.Since(start); d > 2*time.Second {
+			t.Errorf("moved after %v", d)
+		}
+	})
+}
+
+// The table of openings sees a flood of made-up ones. It must stay bounded, and
+// still know a true opening for as long as a caller repeats it.
+func TestOpeningsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var o openings
+		for i := range uint64(10 * openingsMost) {
+			o.put(opening{flow: i}, placeHere, time.Now())
+		}
+		if n := len(o.young) + len(o.old); n > 2*openingsMost {
+			t.Errorf("%d openings are kept", n)
+		}
+		k := opening{flow: 1 << 60}
+		o.put(k, placeNext, time.Now())
+		time.Sleep(openingLife - time.Second)
+		if o.get(k, time.Now()) != placeNext {
+			t.Error("forgotten while the caller still repeats it")
+		}
+		time.Sleep(3 * openingLife)
+		if o.get(k, time.Now()) != placeUnknown {
+			t.Error("remembered for good")
+		}
+	})
+}
--- a/agent/openings.go
+++ b/agent/openings.go
@@ -65,5 +65,9 @@
 	if now.Sub(o.turned) < openingLife && len(o.young) < openingsMost {
 		return
 	}
-	o.old, o.young, o.turned = o.young, nil, now
+	o.old = o.young
+	if now.Sub(o.turned) >= 2*openingLife {
+		o.old = nil // both generations are from before a long quiet time
+	}
+	o.young, o.turned = nil, now
 }
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -66,6 +66,13 @@
 	p.rebuild(now)
 }
 
+// expire drops the balancers that fell silent.
+func (p *paths) expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rebuild(now)
+}
+
 // rebuild makes the list anew; p.mu is held.
 func (p *paths) rebuild(now time.Time) {
 	var live []netip.AddrPort
