Find an unannounced cold start by three slow answers in a row

Cause: drawn pairs of faults showed work beyond what a cold upstream bears while its answers were crossed: the usual time had followed the slow phase, four times of it was more than a cold answer takes, and one slow page would have been a sign on its own. Also, switching the drain's guard off did not show, since GOAWAY moved the flows away within the limit anyway.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -100,9 +100,7 @@
 }
 
 // isLeaving reports whether the upstream may get no new work.
-func (d *dispatcher) isLeaving() bool {
-	return d.leaving.Load() && !d.guards.Has(guard.Drain)
-}
+func (d *dispatcher) isLeaving() bool { return d.leaving.Load() }
 
 // wait queues for a slot and tries another sibling on the way.
 func (d *dispatcher) wait(ctx context.Context, j *job) (*answer, error) {
--- a/agent/leave.go
+++ b/agent/leave.go
@@ -8,6 +8,7 @@
 
 	"pomeloway.example/pomeloway/events"
 	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/guard"
 )
 
 const (
@@ -18,6 +19,9 @@
 	// keyPoll is how often the end of the journal's duty is looked at.
 	keyPoll     = 200 * time.Millisecond
 	healthEvery = time.Second
+	// unguarded is how long an agent without its drain goes on before it drops
+	// everything, in a trial of the report.
+	unguarded = 5 * time.Second
 )
 
 // leave waits for the stop and leaves: no new flows, no new work for the
@@ -42,6 +46,10 @@
 	}()
 	a.Log.Add(events.Draining, slog.String("program", "agent"), slog.Int("flows", a.flows.len()), slog.Int64("running", a.disp.running.Load()))
 	a.stopping.Store(true)
+	if a.disp.guards.Has(guard.Drain) {
+		wait(ctx, unguarded)
+		return nil
+	}
 	a.disp.leaving.Store(true)
 	a.SetReady(false)
 	a.Node.SetPhase(fleet.PhaseLeaving)
--- a/balancer/forwarder.go
+++ b/balancer/forwarder.go
@@ -86,6 +86,8 @@
 		f.count.Dropped.Add(1)
 		d.ID = events.FlowDropped
 		switch a.Reason {
+		case events.ReasonTooLong:
+			return // a caller probes how long datagrams may be: no decision
 		case events.ReasonNoCandidate:
 			d.ID = events.FlowNoUpstream
 		case events.ReasonService:
--- a/demo/callers.go
+++ b/demo/callers.go
@@ -22,7 +22,7 @@
 // Behaviour of callers.
 const (
 	thinkMost     = 60 * time.Millisecond
-	feedLinesMost = 120
+	feedLinesMost = 60
 	feedLinesMin  = 20
 	feedEvery     = 100 * time.Millisecond
 	uploadMost    = 512 << 10
--- a/upstream/allowance.go
+++ b/upstream/allowance.go
@@ -36,12 +36,17 @@
 )
 
 const (
-	// slowFactor over the usual time is a sign of coldness.
+	// slowFactor over the usual time is slow, and slowRun slow answers in a row
+	// are a sign of coldness: one may be a page that is rarely asked for.
 	slowFactor = 4
+	slowRun    = 3
 	// slowLeast keeps the noise of very fast answers from being one.
-	slowLeast = 100 * time.Millisecond
-	// usualShare is the weight of one answer in the usual time, 1/16.
-	usualShare = 16
+	slowLeast = 20 * time.Millisecond
+	// The usual time follows a faster answer by a quarter and a slower one by a
+	// sixty-fourth, so that it stays near the fast answers and a slow phase of
+	// another cause doesn't hide a cold start.
+	usualDown = 4
+	usualUp   = 64
 )
 
 // Allowance is how much work an upstream may have now.
@@ -50,6 +55,7 @@
 	allowed int
 	good    int
 	usual   time.Duration
+	slow    int
 }
 
 func (a *Allowance) limit(l bundle.Limits, first bool) {
@@ -70,7 +76,8 @@
 	switch {
 	case s.Kind == SignNone:
 		return false, false
-	case s.Kind == SignBad || a.slow(s.Took):
+	case s.Kind == SignBad || a.isSlow(s.Took):
+		a.slow = 0
 		cold = a.allowed > a.limits.ColdStart.Slots
 		a.allowed, a.good = min(a.limits.ColdStart.Slots, a.limits.Slots), 0
 		return cold, false
@@ -88,8 +95,16 @@
 	return false, a.Warm()
 }
 
-func (a *Allowance) slow(d time.Duration) bool {
-	return a.usual > 0 && d > max(a.usual*slowFactor, slowLeast)
+// isSlow reports whether the answer ends a run of slow ones.
+func (a *Allowance) isSlow(d time.Duration) bool {
+	switch {
+	case d == 0 || a.usual == 0:
+	case d > max(a.usual*slowFactor, slowLeast):
+		a.slow++
+	default:
+		a.slow = 0
+	}
+	return a.slow >= slowRun
 }
 
 func (a *Allowance) remember(d time.Duration) {
@@ -97,7 +112,9 @@
 	case d == 0:
 	case a.usual == 0:
 		a.usual = d
+	case d < a.usual:
+		a.usual += (d - a.usual) / usualDown
 	default:
-		a.usual += (d - a.usual) / usualShare
+		a.usual += (d - a.usual) / usualUp
 	}
 }
