--- a/agent/agent.go
+++ b/agent/agent.go
@@ -238,7 +238,7 @@
 	a.disp.service.Store(s)
 	if s != nil {
 		a.disp.gate.Limit(s.Upstreams)
-		a.disp.client.CheckID.Store(s.Upstreams.AnswersCarryID)
+		a.disp.client.CheckID.Store(s.Upstreams.AnswersCarryID && !a.disp.guards.Has(guard.Match))
 	}
 	a.SetReady(s != nil && !a.disp.leaving.Load())
 	a.setZone(ctx, x.Bundle.ZoneOut(a.opts.Zone), t.ZoneOutRun)
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -144,7 +144,7 @@
 		d.gate.Release(upstream.Sign{})
 		return nil, refuseFull("too much of the request was read to send it again")
 	}
-	id := upstream.RequestID(fmt.Sprintf("%x-%d", uint64(d.life), d.seq.Add(1)))
+	id := d.newID()
 	r := newOutgoing(ctx, j.r, body)
 	d.counts.Placed.Add(1)
 	d.running.Add(1)
@@ -165,6 +165,14 @@
 	return d.answered(ctx, j, a, took), nil
 }
 
+// newID returns an id that no other run of a request has. Two agents count the
+// same numbers, and may have begun in the same microsecond; were their ids the
+// same, an answer that strays from one to the other would pass for its own.
+func (d *dispatcher) newID() upstream.RequestID {
+	self := fleet.HashOf([]byte(d.siblings.self))
+	return upstream.RequestID(fmt.Sprintf("%x-%x-%d", self, uint64(d.life), d.seq.Add(1)))
+}
+
 // failed gives the slot back after the upstream gave no answer.
 func (d *dispatcher) failed(ctx context.Context, j *job, err error) (*answer, error) {
 	sign := upstream.Sign{Kind: upstream.SignBad}
@@ -173,7 +181,7 @@
 	}
 	d.release(sign)
 	d.running.Add(-1)
-	if !errors.Is(err, upstream.ErrNotRun) {
+	if !errors.Is(err, upstream.ErrNotRun) && !d.guards.Has(guard.Retry) {
 		if ctx.Err() != nil {
 			return nil, refuseTimeout("the upstream had not answered", OutcomeUnknown)
 		}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -65,6 +65,9 @@
 	if k.Home == o.home && (k.Life == o.life || o.d.guards.Has(guard.Life)) {
 		return o.atHome(ctx, j, k)
 	}
+	if o.d.guards.Has(guard.Home) {
+		return o.d.place(ctx, j)
+	}
 	if atHome || !homeAlive(o.state, k.Home.String(), k.Life) {
 		// The home's next life has none of its journal. Running the request
 		// anew here could be the second time; it shows as a doubled order.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -13,6 +13,12 @@
 	Journal Name = "journal"
 	// Life refuses idempotency keys of an agent's earlier life.
 	Life Name = "life"
+	// Home lets nobody but a key's home run its request.
+	Home Name = "home"
+	// Retry sends again only what surely did not run.
+	Retry Name = "retry"
+	// Match gives an answer only to the request whose id it carries.
+	Match Name = "match"
 	// Slots keeps work within the upstream's slots and cold start.
 	Slots Name = "slots"
 	// Drain keeps new work from an upstream that leaves.
@@ -29,7 +35,7 @@
 
 // Names lists every guard.
 func Names() []Name {
-	return []Name{Journal, Life, Slots, Drain, Outcome, Zone, Service, Token}
+	return []Name{Journal, Life, Home, Retry, Match, Slots, Drain, Outcome, Zone, Service, Token}
 }
 
 // Known reports whether there is a guard of the name.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -49,7 +49,7 @@
 	Crossed, Dropped atomic.Uint64
 
 	address netip.AddrPort
-	tr      *http.Transport
+	tr      http.RoundTripper
 
 	mu      sync.Mutex
 	waiting map[RequestID]chan *http.Response
@@ -58,22 +58,28 @@
 // NewClient returns a client of the upstream at the address.
 func NewClient(a netip.AddrPort) *Client {
 	d := net.Dialer{Timeout: dialTimeout}
-	return &Client{
-		address: a,
-		waiting: map[RequestID]chan *http.Response{},
-		tr: &http.Transport{
-			DialContext:            d.DialContext,
-			MaxIdleConnsPerHost:    idleMost,
-			IdleConnTimeout:        idleFor,
-			MaxResponseHeaderBytes: headerMost,
-			ExpectContinueTimeout:  expectTimeout,
-			DisableCompression:     true,
-		},
-	}
+	return NewClientOver(a, &http.Transport{
+		DialContext:            d.DialContext,
+		MaxIdleConnsPerHost:    idleMost,
+		IdleConnTimeout:        idleFor,
+		MaxResponseHeaderBytes: headerMost,
+		ExpectContinueTimeout:  expectTimeout,
+		DisableCompression:     true,
+	})
+}
+
+// NewClientOver returns a client that reaches the upstream by the transport,
+// which must tell of a connection through httptrace, as net/http's does.
+func NewClientOver(a netip.AddrPort, tr http.RoundTripper) *Client {
+	return &Client{address: a, tr: tr, waiting: map[RequestID]chan *http.Response{}}
 }
 
 // Close ends idle connections.
-func (c *Client) Close() { c.tr.CloseIdleConnections() }
+func (c *Client) Close() {
+	if t, ok := c.tr.(interface{ CloseIdleConnections() }); ok {
+		t.CloseIdleConnections()
+	}
+}
 
 // idempotencyHeaders make net/http's transport repeat any request, a POST too,
 // when a kept connection fails.
