Work out whom to follow once for each view, not for each question

The profile showed whole views being copied and sorted: four times a second in each agent, and at each look whether the platform must be watched. A quiet feed also held a copy buffer of 32 kB while it waited. Change: agents take a view when it changes and else every 5 s; a node keeps its sources while the view's generation stands; bodies start in a buffer of 2 kB; the look at the upstream's health keeps its connection.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -177,22 +177,31 @@
 // Kill ends the agent at once, as a crash would.
 func (a *Agent) Kill() { a.killed.Do(func() { close(a.kill) }) }
 
-// reviewEvery is how often silent balancers are dropped from the paths and
-// doubts are weighed anew; it bounds how late a return path moves.
-const reviewEvery = 250 * time.Millisecond
+const (
+	// reviewEvery is how often silent balancers are dropped from the paths; it
+	// bounds how late a return path moves.
+	reviewEvery = 250 * time.Millisecond
+	// weighEvery is how often doubts, which come to count with time alone, are
+	// weighed without a change of the view.
+	weighEvery = 5 * time.Second
+)
 
 // follow keeps up with the fleet's view.
 func (a *Agent) follow(ctx context.Context) error {
 	t := time.NewTicker(reviewEvery)
 	defer t.Stop()
+	weigh := time.NewTicker(weighEvery)
+	defer weigh.Stop()
+	changed := closedChannel()
 	for {
-		changed := a.State.Changed()
-		if x := a.State.Accepted(); x != nil {
-			a.apply(ctx, x)
-		}
 		select {
 		case <-changed:
+			changed = a.State.Changed()
+			a.apply(ctx)
+		case <-weigh.C:
+			a.apply(ctx)
 		case <-t.C:
+			a.conn.paths.expire(time.Now())
 			a.collect()
 		case <-ctx.Done():
 			return nil
@@ -200,6 +209,12 @@
 	}
 }
 
+func closedChannel() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
 // collectEvery is how many reviews pass between two collections.
 const collectEvery = 240
 
@@ -213,7 +228,11 @@
 	}
 }
 
-func (a *Agent) apply(ctx context.Context, x *bundle.Accepted) {
+func (a *Agent) apply(ctx context.Context) {
+	x := a.State.Accepted()
+	if x == nil {
+		return
+	}
 	if x.Version != a.version {
 		a.version = x.Version
 		a.applyBundle(ctx, x)
--- a/agent/leave.go
+++ b/agent/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -19,6 +20,7 @@
 	// keyPoll is how often the end of the journal's duty is looked at.
 	keyPoll     = 200 * time.Millisecond
 	healthEvery = time.Second
+	maxHealth   = 4 << 10
 	// unguarded is how long an agent without its drain goes on before it drops
 	// everything, in a trial of the report.
 	unguarded = 5 * time.Second
@@ -101,6 +103,7 @@
 		}
 		drains := false
 		if x, err := c.Do(r); err == nil {
+			io.Copy(io.Discard, io.LimitReader(x.Body, maxHealth)) // so that the connection is kept
 			x.Body.Close()
 			drains = x.StatusCode == http.StatusServiceUnavailable
 		}
--- a/demo/measure.go
+++ b/demo/measure.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.health = "" // a look at the own VM's upstream is no traffic of the fleet
 	if err := s.Start(ctx); err != nil {
 		s.Close()
 		return nil, err
--- a/demo/site.go
+++ b/demo/site.go
@@ -44,6 +44,7 @@
 	// Lag makes the views of the processes that start later arrive unevenly.
 	Lag func() time.Duration
 
+	health  string
 	log     *slog.Logger
 	off     guard.Off
 	key     keyring.Secret
@@ -103,7 +104,7 @@
 func NewSite(d Deployment, l *slog.Logger, off guard.Off) (*Site, error) {
 	s := &Site{
 		Deployment: d, Platform: &standin.Platform{}, Fabric: standin.NewFabric(), Ledger: &standin.Ledger{},
-		log: l, off: off, key: keyring.NewSecret(1), host: firstHost,
+		log: l, off: off, health: "/healthz", key: keyring.NewSecret(1), host: firstHost,
 		// Sites of several programs on one machine keep apart by their number.
 		net: byte(10 + os.Getpid()%240), index: byte(sites.Add(1)),
 	}
@@ -294,7 +295,7 @@
 	u.server = &http.Server{Handler: u.Handler()}
 	s.wait.Go(func() { u.server.Serve(l) })
 	u.opts = agent.Options{
-		Options: s.options(h, z), Service: bundle.ServiceID(i + 1), Health: "/healthz",
+		Options: s.options(h, z), Service: bundle.ServiceID(i + 1), Health: s.health,
 		Upstream: l.Addr().(*net.TCPAddr).AddrPort(), TLS: s.serve, Drain: time.Hour,
 	}
 	return u, s.startAgent(u)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -58,10 +58,12 @@
 
 	mu       sync.Mutex
 	revision uint64
-	members  map[MemberID]*held[Member]
-	opinions map[opinionKey]*held[Opinion]
-	accepted *bundle.Accepted
-	changed  chan struct{}
+	// generation counts changes of any kind.
+	generation uint64
+	members    map[MemberID]*held[Member]
+	opinions   map[opinionKey]*held[Opinion]
+	accepted   *bundle.Accepted
+	changed    chan struct{}
 }
 
 // NewState returns an empty State that takes bundles of the verifier's keys.
@@ -172,8 +174,16 @@
 	return m
 }
 
+// Generation returns a number that every change raises.
+func (s *State) Generation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.generation
+}
+
 // wake tells the waiting that something changed; s.mu is held.
 func (s *State) wake() {
+	s.generation++
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -55,6 +55,7 @@
 	Lag func() time.Duration
 
 	mu       sync.Mutex
+	known    sources
 	self     fleet.Member
 	written  platform.Revision
 	down     bool
@@ -160,9 +161,39 @@
 	return out
 }
 
-// sources returns whether this node is a relay, and the peers to follow, best
-// first: those of its own zone before the others, unless it is a relay itself.
+// sources is whom a node follows, as worked out from one state of the view.
+type sources struct {
+	relay      bool
+	peers      []netip.AddrPort
+	generation uint64
+	at         time.Time
+}
+
+// sourcesLife is how long sources are good without a change of the view: doubts
+// come to count with time.
+const sourcesLife = 5 * time.Second
+
+// sources returns whether this node is a relay, and the peers to follow. Going
+// through the whole view at each question would cost each process a share of a
+// core that grows with the fleet.
 func (n *Node) sources() (relay bool, peers []netip.AddrPort) {
+	g := n.State.Generation()
+	n.mu.Lock()
+	k := n.known
+	n.mu.Unlock()
+	if k.at.IsZero() || k.generation != g || time.Since(k.at) > sourcesLife {
+		k = sources{generation: g, at: time.Now()}
+		k.relay, k.peers = n.findSources()
+		n.mu.Lock()
+		n.known = k
+		n.mu.Unlock()
+	}
+	return k.relay, k.peers
+}
+
+// findSources finds the peers to follow, best first: those of the node's own
+// zone before the others.
+func (n *Node) findSources() (relay bool, peers []netip.AddrPort) {
 	s := n.Self()
 	var own, other []fleet.Member
 	for z, ms := range n.relaysByZone() {
--- a/process/process.go
+++ b/process/process.go
@@ -223,3 +223,6 @@
 	}
 	return s
 }
+
+// Followed returns how many answers peers that follow this process were given.
+func (p *Process) Followed() uint64 { return p.server.Followed.Load() }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -225,32 +225,50 @@
 	c.Crossed.Add(1)
 }
 
-// copySize is the buffer of one stream; a body passes through it whatever its
-// length.
-const copySize = 32 << 10
+// Sizes of the buffers that a body passes through, whatever its length. A feed
+// that mostly waits holds the small one while it does.
+const (
+	smallCopy = 2 << 10
+	largeCopy = 32 << 10
+)
 
-var buffers = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
+var (
+	smallBuffers = sync.Pool{New: func() any { b := make([]byte, smallCopy); return &b }}
+	largeBuffers = sync.Pool{New: func() any { b := make([]byte, largeCopy); return &b }}
+)
 
 // Stream copies body to w and flushes after each read, so that a feed's first
-// byte arrives at once and a slow reader slows the writer.
+// byte arrives at once and a slow reader slows the writer. It reads into a large
+// buffer only while the last read filled the one before.
 func Stream(w io.Writer, flush func() error, body io.Reader) error {
-	b := buffers.Get().(*[]byte)
-	defer buffers.Put(b)
+	pool := &smallBuffers
 	for {
+		b := pool.Get().(*[]byte)
 		n, err := body.Read(*b)
-		if n > 0 {
-			if _, err := w.Write((*b)[:n]); err != nil {
-				return eris.Wrap(err, "to caller")
-			}
-			if err := flush(); err != nil {
-				return eris.Wrap(err, "to caller")
-			}
-		}
-		if err == io.EOF {
+		werr := forward(w, flush, (*b)[:n])
+		full := n == len(*b)
+		pool.Put(b)
+		switch {
+		case werr != nil:
+			return eris.Wrap(werr, "to caller")
+		case err == io.EOF:
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return eris.Wrap(err, "from upstream")
 		}
+		pool = &smallBuffers
+		if full {
+			pool = &largeBuffers
+		}
+	}
+}
+
+func forward(w io.Writer, flush func() error, p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if _, err := w.Write(p); err != nil {
+		return err
 	}
+	return flush()
 }
