Let several sockets share a service's address, and prove the peers' links

An hour of outage under a paused clock costs one process under 0.5 calls a second; a paused holder's late write fails in every case.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -127,7 +127,7 @@
 	b.closed = true
 	b.link.Close()
 	for _, p := range *b.ports.Load() {
-		p.socket.Close()
+		p.close()
 	}
 }
 
@@ -212,21 +212,31 @@
 	b.ports.Store(&next)
 	for id, p := range old {
 		if next[id] != p {
-			p.socket.Close()
+			p.close()
 		}
 	}
 }
 
-// open starts the forwarder of one service.
+// open starts the forwarders of one service.
 func (b *Balancer) open(id bundle.ServiceID, a netip.AddrPort) *port {
-	s, err := link.Listen(a)
-	if err != nil {
-		b.Log.Add(events.BundleRefused, slog.String("address", a.String()), slog.String("error", err.Error()))
-		return nil
+	listen := link.Listen
+	if b.opts.Forwarders > 1 {
+		listen = link.ListenShared
+	}
+	p := &port{id: id, local: a}
+	for range b.opts.Forwarders {
+		s, err := listen(a)
+		if err != nil {
+			b.Log.Add(events.BundleRefused, slog.String("address", a.String()), slog.String("error", err.Error()))
+			p.close()
+			return nil
+		}
+		p.sockets = append(p.sockets, s)
+	}
+	for _, s := range p.sockets {
+		f := &forwarder{id: id, zone: b.opts.Zone, in: s, link: b.link, view: &b.view, log: b.Log, count: b.countersLocked()}
+		b.wait.Go(func() { f.run() })
 	}
-	p := &port{id: id, local: a, socket: s}
-	f := &forwarder{port: p, zone: b.opts.Zone, link: b.link, view: &b.view, log: b.Log, count: b.countersLocked()}
-	b.wait.Go(func() { f.run() })
 	return p
 }
 
--- a/balancer/forwarder.go
+++ b/balancer/forwarder.go
@@ -22,17 +22,25 @@
 	_                                                                       [64]byte
 }
 
-// port is the balancer's socket on the address of one service.
+// port is the balancer's sockets on the address of one service, one for each
+// forwarder; answers go out by the first.
 type port struct {
-	id     bundle.ServiceID
-	local  netip.AddrPort
-	socket *link.Socket
+	id      bundle.ServiceID
+	local   netip.AddrPort
+	sockets []*link.Socket
+}
+
+func (p *port) close() {
+	for _, s := range p.sockets {
+		s.Close()
+	}
 }
 
 // forwarder carries callers' datagrams of one service to agents.
 type forwarder struct {
-	port  *port
+	id    bundle.ServiceID
 	zone  bundle.ZoneID
+	in    *link.Socket
 	link  *link.Socket
 	view  *atomic.Pointer[View]
 	log   *events.Log
@@ -44,7 +52,7 @@
 	b := link.NewBatch(batchSize)
 	var o quiclb.Opener
 	for {
-		n, err := b.Read(f.port.socket.Batched)
+		n, err := b.Read(f.in.Batched)
 		if err != nil {
 			return err
 		}
@@ -59,12 +67,12 @@
 func (f *forwarder) one(v *View, b *link.Batch, i int, o *quiclb.Opener, now uint32) {
 	var a Action
 	from := b.From(i)
-	v.Decide(f.port.id, b.Payload(i), o, &a)
+	v.Decide(f.id, b.Payload(i), o, &a)
 	f.record(&a, from)
 	if a.Verdict == VerdictDrop {
 		return
 	}
-	m := link.Message{Kind: link.KindForward, Zone: f.zone, Service: f.port.id, Caller: from, Sent: now}
+	m := link.Message{Kind: link.KindForward, Zone: f.zone, Service: f.id, Caller: from, Sent: now}
 	if a.Verdict == VerdictOpen {
 		m.Kind, m.Count, m.Candidates = link.KindOpen, a.Count, a.Candidates
 	}
@@ -74,7 +82,7 @@
 
 // record counts the decision, and logs it unless it was a token's look-up.
 func (f *forwarder) record(a *Action, from netip.AddrPort) {
-	d := events.Decision{Reason: a.Reason, Service: f.port.id, Zone: a.Zone, Caller: from, Target: a.Target(), Flow: a.Flow}
+	d := events.Decision{Reason: a.Reason, Service: f.id, Zone: a.Zone, Caller: from, Target: a.Target(), Flow: a.Flow}
 	switch a.Verdict {
 	case VerdictForward:
 		f.count.Forwarded.Add(1)
--- a/balancer/returner.go
+++ b/balancer/returner.go
@@ -48,7 +48,7 @@
 
 func (r *returner) flush() {
 	for _, p := range r.touched {
-		r.count.Lost.Add(uint64(r.out[p].Flush(p.socket.Batched)))
+		r.count.Lost.Add(uint64(r.out[p].Flush(p.sockets[0].Batched)))
 	}
 	r.touched = r.touched[:0]
 }
--- a/capacity/fleets.go
+++ b/capacity/fleets.go
@@ -12,8 +12,13 @@
 // FleetSize is a fleet to measure.
 type FleetSize struct{ Balancers, Upstreams int }
 
-// quiet is how long a fleet settles before it is measured.
-const quiet = 3 * time.Second
+const (
+	// quiet is how long flows settle before they are measured.
+	quiet = 3 * time.Second
+	// settled is how long a fleet does: until every process follows the relay
+	// that it goes on following.
+	settled = 25 * time.Second
+)
 
 // fleetZones is the zones of a measured fleet.
 const fleetZones = 4
@@ -33,7 +38,7 @@
 		if err != nil {
 			return nil, err
 		}
-		time.Sleep(quiet)
+		time.Sleep(settled)
 		a := read()
 		ra, _ := f.PlatformCalls()
 		time.Sleep(hold)
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,263 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/keyring"
+	"pomeloway.example/pomeloway/platform"
+	"pomeloway.example/pomeloway/standin"
+)
+
+func member(role fleet.Role, host byte, zone bundle.ZoneID, life fleet.Incarnation) fleet.Member {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(zone), host}), 7001)
+	m := fleet.Member{ID: fleet.NewID(role, a), Role: role, Zone: zone, Link: a, Peer: netip.AddrPortFrom(a.Addr(), 7002), Incarnation: life, Phase: fleet.PhaseReady}
+	if role == fleet.RoleAgent {
+		m.Service = 1
+	}
+	return m
+}
+
+func startServer(t *testing.T, r keyring.Ring) (*Server, *fleet.State) {
+	t.Helper()
+	i, err := NewIdentity(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := fleet.NewState(nil)
+	v, err := NewServer(netip.MustParseAddrPort("127.0.0.1:0"), i, s, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- v.Run() }()
+	t.Cleanup(func() { v.Close(); <-done })
+	return v, s
+}
+
+// A process without a fleet key calls, to announce a member that would draw
+// callers' flows to it. It must not get as far as a request; a process that
+// holds any of the keys in force must.
+func TestPeersWithoutAFleetKeyChangeNothing(t *testing.T) {
+	old, next, foreign := keyring.NewSecret(1), keyring.NewSecret(2), keyring.NewSecret(1)
+	v, s := startServer(t, keyring.Ring{next, old})
+	for name, x := range map[string]struct {
+		ring keyring.Ring
+		ok   bool
+	}{"the current key": {keyring.Ring{next}, true}, "the old key": {keyring.Ring{old}, true}, "a foreign key": {keyring.Ring{foreign}, false}} {
+		t.Run(name, func(t *testing.T) {
+			i, err := NewIdentity(x.ring)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := NewClient(i)
+			defer c.Close()
+			m := member(fleet.RoleAgent, byte(len(name)), 1, 1)
+			err = c.Announce(t.Context(), v.Addr(), fleet.Change{Members: []fleet.Member{m}})
+			if _, known := s.Member(m.ID); (err == nil) != x.ok || known != x.ok {
+				t.Errorf("err %v, member taken %t", err, known)
+			}
+		})
+	}
+}
+
+func TestFollowWaitsForAChangeAndGetsIt(t *testing.T) {
+	r := keyring.Ring{keyring.NewSecret(1)}
+	v, s := startServer(t, r)
+	i, _ := NewIdentity(r)
+	c := NewClient(i)
+	defer c.Close()
+	s.Merge(fleet.Change{Members: []fleet.Member{member(fleet.RoleAgent, 1, 1, 1)}})
+	first, err := c.Follow(t.Context(), v.Addr(), Position{}, 0, time.Second)
+	if err != nil || len(first.Members) != 1 {
+		t.Fatalf("%+v, %v", first, err)
+	}
+	got := make(chan fleet.Change, 1)
+	go func() {
+		x, err := c.Follow(t.Context(), v.Addr(), Position{first.Epoch, first.Revision}, 0, 10*time.Second)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- x
+	}()
+	for n := byte(0); n < 200; n++ { // enough that the answer is compressed
+		s.Merge(fleet.Change{Members: []fleet.Member{member(fleet.RoleAgent, n, 2, 1)}})
+	}
+	if x := <-got; len(x.Members) == 0 || x.Members[0].Zone != 2 {
+		t.Errorf("followed to %d members", len(x.Members))
+	}
+}
+
+// testNode is a node over a platform without a network.
+func testNode(p *standin.Platform, self fleet.Member) *Node {
+	c := &platform.Client{URL: "http://platform", HTTP: &http.Client{Transport: standin.Wire{Handler: p}}}
+	return NewNode(fleet.NewState(nil), nil, c, nil, self)
+}
+
+func stored(t *testing.T, n *Node) (fleet.Member, error) {
+	t.Helper()
+	o, err := n.Platform.Get(t.Context(), platform.KindMember, string(n.Self().ID))
+	var m fleet.Member
+	if err == nil {
+		err = json.Unmarshal(o.Value, &m)
+	}
+	return m, err
+}
+
+// An agent's VM is paused for minutes with a write in hand. Meanwhile it is held
+// for dead and its record removed, or another life begins at its address. When
+// it wakes its write must fail on the object's version, and not put a dead
+// record over a live one.
+func TestPausedHolderChangesNothingOfTheNextLife(t *testing.T) {
+	p := &standin.Platform{}
+	old := testNode(p, member(fleet.RoleAgent, 1, 1, 1))
+	if err := old.write(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	next := testNode(p, member(fleet.RoleAgent, 1, 1, 2))
+	for next.write(t.Context()) != nil { // finds the old life's object, and replaces it
+	}
+	old.SetPhase(fleet.PhaseLeaving)
+	if err := old.write(t.Context()); err != nil {
+		t.Errorf("the old life goes on trying: %v", err)
+	}
+	if m, err := stored(t, next); err != nil || m.Incarnation != 2 || m.Phase != fleet.PhaseReady {
+		t.Errorf("the platform holds %+v, %v", m, err)
+	}
+	old.Leave()
+	if _, err := stored(t, next); err != nil {
+		t.Errorf("the old life removed the next one's record: %v", err)
+	}
+}
+
+// The same, but the record was removed and no next life has begun: the process
+// that wakes is alive, so its record must come back.
+func TestWrongVerdictIsUndone(t *testing.T) {
+	p := &standin.Platform{}
+	n := testNode(p, member(fleet.RoleAgent, 1, 1, 1))
+	if err := n.write(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	o, _ := n.Platform.Get(t.Context(), platform.KindMember, string(n.Self().ID))
+	if err := n.Platform.Delete(t.Context(), platform.KindMember, o.Name, o.Revision); err != nil {
+		t.Fatal(err)
+	}
+	l, _ := n.Platform.List(t.Context(), 1, 0, platform.KindMember)
+	n.takeObjects(l.Objects) // the node hears that it is gone
+	for n.write(t.Context()) != nil {
+	}
+	if m, err := stored(t, n); err != nil || m.Phase != fleet.PhaseReady || !m.Newer(&fleet.Member{Incarnation: 1}) {
+		t.Errorf("the platform holds %+v, %v", m, err)
+	}
+}
+
+// The answer to a write is lost after it took effect. Writing again without a
+// look would fail on its own first write for good.
+func TestLostAnswerOfAWriteIsReadBack(t *testing.T) {
+	p := &standin.Platform{}
+	n := testNode(p, member(fleet.RoleAgent, 1, 1, 1))
+	p.Set(standin.Faults{LoseAnswers: 1})
+	if err := n.write(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	n.SetPhase(fleet.PhaseLeaving)
+	if err := n.write(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if m, err := stored(t, n); err != nil || m.Phase != fleet.PhaseLeaving {
+		t.Errorf("the platform holds %+v, %v", m, err)
+	}
+}
+
+// The platform is down for an hour, and a fleet's processes go on asking. Their
+// calls must stay few, and come spread, or the platform would meet a storm the
+// moment it is back.
+func TestAnHourOfOutageCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &standin.Platform{}
+		p.Set(standin.Faults{Outage: true})
+		n := testNode(p, member(fleet.RoleBalancer, 1, 1, 1))
+		n.Client = nil
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { n.watch(ctx); close(done) }()
+		go n.publish(ctx)
+		time.Sleep(time.Hour)
+		c := p.Counts()
+		if rate := float64(c.Reads+c.Writes) / 3600; rate > 0.5 {
+			t.Errorf("%.2f calls a second while the platform is down", rate)
+		}
+		p.Set(standin.Faults{})
+		time.Sleep(time.Minute)
+		if _, err := stored(t, n); err != nil {
+			t.Errorf("a minute after the outage the record is not there: %v", err)
+		}
+		if n.PlatformDown() {
+			t.Error("the node still holds the platform for down")
+		}
+		stop()
+		<-done
+		synctest.Wait()
+	})
+}
+
+func TestRelaysAreTwoOfEachZone(t *testing.T) {
+	var ms []fleet.Member
+	for z := range 4 {
+		for h := range 10 {
+			ms = append(ms, member(fleet.RoleBalancer, byte(h+1), bundle.ZoneID(z+1), 1))
+		}
+	}
+	relaysFound := 0
+	for _, m := range ms {
+		n := testNode(&standin.Platform{}, m)
+		n.State.Merge(fleet.Change{Members: ms})
+		relay, peers := n.sources()
+		if relay {
+			relaysFound++
+		}
+		if len(peers) == 0 || !relay && peers[0].Addr().As4()[2] != byte(m.Zone) {
+			t.Errorf("%s follows %v first", m.ID, peers)
+		}
+	}
+	if relaysFound != 4*relays {
+		t.Errorf("%d relays in 4 zones", relaysFound)
+	}
+}
+
+func TestClientTellsOutcomesApart(t *testing.T) {
+	p := &standin.Platform{}
+	c := &platform.Client{URL: "http://platform", HTTP: &http.Client{Transport: standin.Wire{Handler: p}}}
+	o, err := c.Create(t.Context(), "k", "n", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, x := range map[string]struct {
+		f    standin.Faults
+		call func() error
+		want error
+	}{
+		"create again":  {standin.Faults{}, func() error { _, err := c.Create(t.Context(), "k", "n", 2); return err }, platform.ErrConflict},
+		"stale update":  {standin.Faults{}, func() error { _, err := c.Update(t.Context(), "k", "n", 2, o.Revision+9); return err }, platform.ErrConflict},
+		"not there":     {standin.Faults{}, func() error { _, err := c.Get(t.Context(), "k", "x"); return err }, platform.ErrNotFound},
+		"outage":        {standin.Faults{Outage: true}, func() error { _, err := c.Get(t.Context(), "k", "n"); return err }, platform.ErrDown},
+		"answer lost":   {standin.Faults{LoseAnswers: 1}, func() error { _, err := c.Create(t.Context(), "k", "m", 2); return err }, platform.ErrUnknown},
+		"value too big": {standin.Faults{}, func() error { _, err := c.Create(t.Context(), "k", "b", make([]byte, platform.MaxValue)); return err }, platform.ErrInvalid},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p.Set(x.f)
+			if err := x.call(); !errors.Is(err, x.want) {
+				t.Errorf("err = %v, want %v", err, x.want)
+			}
+			p.Set(standin.Faults{})
+		})
+	}
+}
