Present the fleet key of the moment, and follow over quieter connections

Cause: the peers' client took its key when the process started. After operators retired that key every call to a peer would have been refused; a test of the rotation shows it. Change: the key is chosen at each dial; followers' connections are kept alive every 5 s by the follower alone; calls that carry requests keep their 2 s. Measured: rotation before refused, after taken.

--- a/agent/conn.go
+++ b/agent/conn.go
@@ -146,12 +146,19 @@
 		return false
 	}
 	k, now := opening{fleet.HashOf(cid), m.Caller}, time.Now()
-	switch c.taken.get(k, now) {
+	was := c.taken.get(k, now)
+	if was == placeNext && returned(m) {
+		was = placeUnknown // the sibling has compared, and it is busier
+	}
+	switch was {
 	case placeHere:
 		return true
 	case placeNext:
 		c.pass(m, whole)
 		return false
+	case placeBack:
+		c.giveBack(m, whole)
+		return false
 	case placeRefused:
 		c.refused.add(m.Caller, now)
 		return true
@@ -160,9 +167,12 @@
 }
 
 func (c *conn) decide(k opening, m *link.Message, whole []byte, now time.Time) bool {
-	last := m.Position+1 >= m.Count
 	why := c.admit()
 	d := events.Decision{ID: events.FlowOpened, Reason: why, Service: c.service, Zone: c.zone, Caller: m.Caller, Flow: k.flow, Target: c.socket.Addr()}
+	if why == "" {
+		why = c.compare(m)
+		d.Reason = why
+	}
 	switch {
 	case why == "":
 		d.Reason = events.ReasonFirst
@@ -173,10 +183,20 @@
 		c.refused.clear(m.Caller, now)
 		c.log.Decide(d)
 		return true
-	case !last:
-		d.ID, d.Target = events.FlowPassed, m.Candidates[m.Position+1]
+	case m.Load > 0 && m.Position == 1:
+		d.ID, d.Target = events.FlowPassed, m.Candidates[0]
+		c.taken.put(k, placeBack, now)
+		c.log.Decide(d)
+		c.giveBack(m, whole)
+		return false
+	case !last(m):
+		d.ID, d.Target = events.FlowPassed, m.Candidates[next(m)]
 		c.taken.put(k, placeNext, now)
 		c.log.Decide(d)
+		m.Load = 0
+		if why == events.ReasonBusier {
+			m.Load = c.load()
+		}
 		c.pass(m, whole)
 		return false
 	}
@@ -189,12 +209,54 @@
 	return true
 }
 
+// returned reports whether the second candidate gave the opening back.
+func returned(m *link.Message) bool { return m.Position == m.Count && m.Count > 1 }
+
+// next returns the index of the candidate after this one. One that got an
+// opening back has tried the second, and goes on with the third.
+func next(m *link.Message) uint8 {
+	if returned(m) {
+		return 2
+	}
+	return m.Position + 1
+}
+
+// last reports whether there is no candidate after this one.
+func last(m *link.Message) bool { return next(m) >= m.Count }
+
+// compare lets the less busy of the first two candidates take the opening (the
+// power of two choices; Mitzenmacher, 2001). The first sends its count of flows
+// along; the second takes the opening if it has no more, or gives it back. Both
+// counts are of this moment, so nobody's report can be stale. It costs one hop
+// between agents for an opening, two for about half of them.
+func (c *conn) compare(m *link.Message) events.Reason {
+	switch {
+	case m.Position == 0 && m.Count > 1 && c.load() > 0:
+		return events.ReasonBusier
+	case m.Position == 1 && m.Load > 0 && c.load() > m.Load:
+		return events.ReasonBusier
+	}
+	return ""
+}
+
+func (c *conn) load() uint16 { return uint16(min(c.flows(), 1<<16-1)) }
+
 // pass sends the datagram on to the next candidate.
 func (c *conn) pass(m *link.Message, whole []byte) {
 	c.Passed.Add(1)
-	m.Position++
+	m.Position = next(m)
+	c.send(m, whole, m.Candidates[m.Position])
+}
+
+// giveBack returns the datagram to the first candidate, which must take it.
+func (c *conn) giveBack(m *link.Message, whole []byte) {
+	m.Position = m.Count
+	c.send(m, whole, m.Candidates[0])
+}
+
+func (c *conn) send(m *link.Message, whole []byte, to netip.AddrPort) {
 	(*c.keys.Load())[0].Put(whole, m)
-	c.socket.WriteToUDPAddrPort(whole, m.Candidates[m.Position])
+	c.socket.WriteToUDPAddrPort(whole, to)
 }
 
 type outgoing struct {
--- a/agent/conn_test.go
+++ b/agent/conn_test.go
@@ -100,6 +100,55 @@
 	}
 }
 
+// Two agents have room, one with more flows than the other. Whichever the
+// balancer asked first, the less busy one must take the opening, with all its
+// datagrams, and neither may send it round for ever.
+func TestLessBusyOfTwoTakesTheOpening(t *testing.T) {
+	for name, x := range map[string]struct {
+		first, second int
+		atFirst       bool
+	}{
+		"first busier": {9, 3, false}, "second busier": {3, 9, true}, "alike": {5, 5, false}, "first empty": {0, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			room := func() events.Reason { return "" }
+			a, b := testConn(t, room), testConn(t, room)
+			a.flows, b.flows = func() int { return x.first }, func() int { return x.second }
+			m := link.Message{Count: 2, Candidates: [link.MaxCandidates]netip.AddrPort{a.socket.Addr(), b.socket.Addr()}}
+			for datagram := range 3 {
+				at, hops := a, 0
+				p := arrive(m, opens(5))
+				for taken, _ := at.handle(p, balancer); taken == nil; taken, _ = at.handle(p, balancer) {
+					if at, hops = other(at, a, b), hops+1; hops > 2 {
+						t.Fatal("the opening goes round")
+					}
+					p = receive(t, at)
+				}
+				if (at == a) != x.atFirst {
+					t.Errorf("datagram %d ended at the first agent: %t", datagram, at == a)
+				}
+			}
+		})
+	}
+}
+
+func other(c, a, b *conn) *conn {
+	if c == a {
+		return b
+	}
+	return a
+}
+
+func receive(t *testing.T, c *conn) []byte {
+	t.Helper()
+	b := make([]byte, 2048)
+	n, err := c.socket.Read(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b[:n]
+}
+
 // Every agent is full. The caller must hear so at once and truthfully from the
 // last one, not run into its own time-out; and a caller that was refused once
 // must be able to open a flow when there is room again.
--- a/agent/openings.go
+++ b/agent/openings.go
@@ -21,6 +21,8 @@
 	placeUnknown place = iota
 	placeHere
 	placeNext
+	// placeBack: the first candidate is less busy, and has it back.
+	placeBack
 	placeRefused
 )
 
--- /dev/null
+++ b/cli/call.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/rotisserie/eris"
+
+	"pomeloway.example/pomeloway/agent"
+	"pomeloway.example/pomeloway/idempotency"
+)
+
+// Settings of a caller's flow, as docs/CALLERS.md advises.
+const (
+	callIdle  = 8 * time.Second
+	callAlive = 2 * time.Second
+)
+
+// runCall makes one request over HTTP/3 and prints the answer as it comes.
+func runCall(ctx context.Context, o CallOptions, s streams) error {
+	ctx, stop := context.WithTimeout(ctx, o.Timeout)
+	defer stop()
+	t, err := o.transport()
+	if err != nil {
+		return err
+	}
+	defer t.Close()
+	if o.Key == "new" {
+		if o.Key, err = newOrderKey(ctx, t, o.URL); err != nil {
+			return err
+		}
+		fmt.Fprintln(s.errs, "key:", o.Key)
+	}
+	r, err := http.NewRequestWithContext(ctx, o.Method, o.URL, strings.NewReader(o.Data))
+	if err != nil {
+		return eris.Wrap(err, "request")
+	}
+	if o.Key != "" {
+		r.Header.Set(idempotency.Header, o.Key)
+	}
+	a, err := t.RoundTrip(r)
+	if err != nil {
+		return eris.Wrap(err, "request")
+	}
+	defer a.Body.Close()
+	fmt.Fprintln(s.errs, "status:", a.StatusCode, "agent:", a.Header.Get(agent.HeaderAgent), "outcome:", a.Header.Get(agent.HeaderOutcome))
+	_, err = io.Copy(s.out, a.Body)
+	return eris.Wrap(err, "answer")
+}
+
+// transport dials the address, whatever name is in the URL.
+func (o CallOptions) transport() (*http3.Transport, error) {
+	pool, err := x509.SystemCertPool()
+	if err != nil || pool == nil {
+		pool = x509.NewCertPool()
+	}
+	if o.CACert != "" {
+		b, err := os.ReadFile(o.CACert)
+		if err != nil {
+			return nil, eris.Wrap(err, "--cacert")
+		}
+		pool.AppendCertsFromPEM(b)
+	}
+	return &http3.Transport{
+		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: callIdle, KeepAlivePeriod: callAlive},
+		Dial: func(ctx context.Context, _ string, c *tls.Config, q *quic.Config) (*quic.Conn, error) {
+			return quic.DialAddr(ctx, o.Address.String(), c, q)
+		},
+	}, nil
+}
+
+func newOrderKey(ctx context.Context, t *http3.Transport, url string) (string, error) {
+	scheme, rest, _ := strings.Cut(url, "://")
+	host, _, _ := strings.Cut(rest, "/")
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, scheme+"://"+host+agent.PathKey, nil)
+	if err != nil {
+		return "", eris.Wrap(err, "key")
+	}
+	a, err := t.RoundTrip(r)
+	if err != nil {
+		return "", eris.Wrap(err, "key")
+	}
+	defer a.Body.Close()
+	var k agent.IssuedKey
+	if err := json.NewDecoder(a.Body).Decode(&k); err != nil {
+		return "", eris.Wrap(err, "key")
+	}
+	return k.Key, nil
+}
--- a/cli/options.go
+++ b/cli/options.go
@@ -33,6 +33,7 @@
 
 	Demo    demo.Options     `cmd:"" help:"Run a whole site on loopback and break it." group:"Trials"`
 	Bench   capacity.Options `cmd:"" help:"Measure how state, traffic and processor time grow with size." group:"Trials"`
+	Call    CallOptions      `cmd:"" help:"Make one request as a caller." group:"Trials"`
 	Standin StandinOptions   `cmd:"" help:"Run a stand-in for the platform, the fabric or an upstream." group:"Trials"`
 
 	Version kong.VersionFlag `help:"Print the version and exit."`
@@ -148,6 +149,17 @@
 	JSON     bool           `help:"Print JSON." name:"json"`
 }
 
+// CallOptions are one caller's request.
+type CallOptions struct {
+	Address netip.AddrPort `arg:"" help:"Address of the service."`
+	URL     string         `arg:"" help:"URL, such as https://letters/screen."`
+	CACert  string         `help:"PEM file of the certificate to trust." type:"existingfile" name:"cacert" placeholder:"FILE"`
+	Method  string         `help:"Method of the request." default:"GET"`
+	Data    string         `help:"Body of the request."`
+	Key     string         `help:"Idempotency key; new gets one first."`
+	Timeout time.Duration  `help:"Longest wait." default:"30s"`
+}
+
 // StandinOptions are the stand-ins.
 type StandinOptions struct {
 	Platform StandinPlatform `cmd:"" help:"Object store with faults to switch on."`
--- a/cli/run.go
+++ b/cli/run.go
@@ -108,6 +108,8 @@
 		return runDemo(ctx, o.Demo, s)
 	case "bench":
 		return capacity.Run(ctx, o.Bench, s.errs, s.out)
+	case "call <address> <url>":
+		return runCall(ctx, o.Call, s)
 	case "status":
 		return runStatus(ctx, o.Status, s)
 	case "key new":
--- /dev/null
+++ b/demo/bench_test.go
@@ -0,0 +1,80 @@
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"log/slog"
+
+	"pomeloway.example/pomeloway/guard"
+)
+
+const echoed = 64 << 20
+
+// pattern is a body that can be checked without being held.
+type pattern struct{ left, at int }
+
+func (p *pattern) Read(b []byte) (int, error) {
+	if p.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(b), p.left)
+	for i := range n {
+		b[i] = byte((p.at + i) * 131 >> 3)
+	}
+	p.left, p.at = p.left-n, p.at+n
+	return n, nil
+}
+
+// BenchmarkSprayed echoes 64 MiB over one flow, with one balancer and with three
+// that each datagram is sprayed over; the difference is what reordering costs.
+func BenchmarkSprayed(b *testing.B) {
+	for name, balancers := range map[string]int{"one": 1, "three": 3} {
+		b.Run(name, func(b *testing.B) {
+			d := Deployment{Name: "echo", Zones: Deployments["agency"].Zones, Balancers: balancers, Services: []ServiceSize{{Name: "web", Upstreams: 1, Slots: 5, Connections: 100}}}
+			s, err := NewSite(d, slog.New(slog.DiscardHandler), guard.Off{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Close()
+			ctx, stop := context.WithTimeout(b.Context(), startTimeout)
+			defer stop()
+			if err := s.Start(ctx); err != nil {
+				b.Fatal(err)
+			}
+			f, err := openFlow(b.Context(), s, newRecorder(), 0)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer f.close()
+			b.SetBytes(2 * echoed)
+			for b.Loop() {
+				echo(b, f)
+			}
+		})
+	}
+}
+
+func echo(b *testing.B, f *flow) {
+	ctx, stop := context.WithTimeout(b.Context(), 2*time.Minute)
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+callerName+"/echo", &pattern{left: echoed})
+	if err != nil {
+		b.Fatal(err)
+	}
+	a, err := f.h3.RoundTrip(r)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer a.Body.Close()
+	want, got := sha256.New(), sha256.New()
+	io.Copy(want, &pattern{left: echoed})
+	n, err := io.Copy(got, a.Body)
+	if err != nil || n != echoed || string(want.Sum(nil)) != string(got.Sum(nil)) {
+		b.Fatalf("%d bytes came back, %v", n, err)
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 	"github.com/rotisserie/eris"
 
@@ -23,21 +25,37 @@
 // maxChange bounds the answer of a peer, in bytes: a whole large fleet.
 const maxChange = 64 << 20
 
-// Client calls peers.
+// Client calls peers. It follows over connections of their own, which are kept
+// alive less often than those that carry callers' requests.
 type Client struct {
-	tr *http3.Transport
+	calls, follows *http3.Transport
 }
 
 // NewClient returns a client with the identity.
 func NewClient(i *Identity) *Client {
-	return &Client{tr: &http3.Transport{TLSClientConfig: i.ClientTLS(), QUICConfig: quicConfig()}}
+	transport := func(idle, alive time.Duration) *http3.Transport {
+		return &http3.Transport{
+			QUICConfig: &quic.Config{
+				HandshakeIdleTimeout: peerHandshake, MaxIdleTimeout: idle, KeepAlivePeriod: alive, MaxIncomingStreams: peerStreams,
+			},
+			// The key to present is that of the moment: one taken when the
+			// process started would be refused once operators retire it.
+			Dial: func(ctx context.Context, a string, _ *tls.Config, q *quic.Config) (*quic.Conn, error) {
+				return quic.DialAddr(ctx, a, i.ClientTLS(), q)
+			},
+		}
+	}
+	return &Client{calls: transport(callIdle, callAlive), follows: transport(followIdle, followAlive)}
 }
 
 // RoundTrip makes one request of a peer; the URL's host is its peer address.
-func (c *Client) RoundTrip(r *http.Request) (*http.Response, error) { return c.tr.RoundTrip(r) }
+func (c *Client) RoundTrip(r *http.Request) (*http.Response, error) { return c.calls.RoundTrip(r) }
 
 // Close ends all connections.
-func (c *Client) Close() { c.tr.Close() }
+func (c *Client) Close() {
+	c.calls.Close()
+	c.follows.Close()
+}
 
 // Position is how far a follower has read a peer's view.
 type Position struct {
@@ -78,7 +96,7 @@
 }
 
 func (c *Client) do(r *http.Request) ([]byte, error) {
-	a, err := c.tr.RoundTrip(r)
+	a, err := c.follows.RoundTrip(r)
 	if err != nil {
 		return nil, eris.Wrapf(err, "peer %s", r.URL.Host)
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -69,6 +69,25 @@
 	}
 }
 
+// Operators rotate the fleet's key and retire the old one. A process that went on
+// presenting the key it had started with would be cut off from all its peers.
+func TestClientPresentsTheKeyOfTheMoment(t *testing.T) {
+	old, next := keyring.NewSecret(1), keyring.NewSecret(2)
+	i, err := NewIdentity(keyring.Ring{old, next})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := NewClient(i)
+	defer c.Close()
+	if err := i.Set(keyring.Ring{next}); err != nil {
+		t.Fatal(err)
+	}
+	v, _ := startServer(t, keyring.Ring{next})
+	if err := c.Announce(t.Context(), v.Addr(), fleet.Change{}); err != nil {
+		t.Errorf("after the rotation: %v", err)
+	}
+}
+
 func TestFollowWaitsForAChangeAndGetsIt(t *testing.T) {
 	r := keyring.Ring{keyring.NewSecret(1)}
 	v, s := startServer(t, r)
--- a/peer/server.go
+++ b/peer/server.go
@@ -29,9 +29,14 @@
 	settle = 50 * time.Millisecond
 	// maxAnnounce bounds what a peer may announce at once, in bytes.
 	maxAnnounce = 4 << 20
-	// peerIdle finds a peer that died with requests under way.
-	peerIdle      = 6 * time.Second
-	peerAlive     = 2 * time.Second
+	// callIdle finds a sibling that died with requests under way.
+	callIdle  = 6 * time.Second
+	callAlive = 2 * time.Second
+	// followIdle finds a relay that died; until then its followers hear nothing
+	// new. A relay of a large fleet has some hundred followers, and keeping them
+	// all alive every 2 s would take most of its control traffic.
+	followIdle    = 15 * time.Second
+	followAlive   = 5 * time.Second
 	peerHandshake = time.Second
 	peerStreams   = 4096
 )
@@ -67,16 +72,15 @@
 // Addr returns the address that peers reach the server at.
 func (s *Server) Addr() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-func quicConfig() *quic.Config {
-	return &quic.Config{
-		HandshakeIdleTimeout: peerHandshake, MaxIdleTimeout: peerIdle,
-		KeepAlivePeriod: peerAlive, MaxIncomingStreams: peerStreams,
-	}
+// serverConfig leaves keeping a connection alive to the client, which knows what
+// it needs.
+func serverConfig() *quic.Config {
+	return &quic.Config{HandshakeIdleTimeout: peerHandshake, MaxIdleTimeout: followIdle, MaxIncomingStreams: peerStreams}
 }
 
 // Run serves until Close.
 func (s *Server) Run() error {
-	l, err := s.tr.ListenEarly(s.h3.TLSConfig, quicConfig())
+	l, err := s.tr.ListenEarly(s.h3.TLSConfig, serverConfig())
 	if err != nil {
 		return err
 	}
--- a/process/process.go
+++ b/process/process.go
@@ -146,10 +146,67 @@
 	ctx2, stop2 := context.WithCancel(context.Background())
 	g.Add(func() error { return p.Node.Run(ctx2) }, func(error) { stop2() })
 	g.Add(p.server.Run, func(error) { p.server.Close(); p.Peers.Close() })
+	ctx3, stop3 := context.WithCancel(context.Background())
+	g.Add(func() error { return p.publishMetrics(ctx3) }, func(error) { stop3() })
 	s := &http.Server{Handler: p.handler(), ReadHeaderTimeout: metricsInterval}
 	g.Add(func() error { return ignoreClosed(s.Serve(p.operator)) }, func(error) { s.Close(); p.closer.Close() })
 }
 
+// publishMetrics copies the program's counters to the metrics every second, so
+// that the hot path never touches a shared metric.
+func (p *Process) publishMetrics(ctx context.Context) error {
+	t := time.NewTicker(metricsInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			p.setGauges()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (p *Process) setGauges() {
+	v := p.Version()
+	p.Scope.Gauge("bundle_version").Update(float64(v.Version))
+	p.Scope.Gauge("ready").Update(number(v.Ready))
+	p.Scope.Gauge("platform_down").Update(number(v.PlatformDown))
+	p.Scope.Gauge("decisions_lost").Update(float64(p.Log.Lost()))
+	p.mu.Lock()
+	f := p.state
+	p.mu.Unlock()
+	if f != nil {
+		gauges(p.Scope.SubScope(string(p.Node.Self().Role)), f())
+	}
+}
+
+// gauges sets a gauge for each number in the JSON form of v.
+func gauges(s tally.Scope, v any) {
+	var m map[string]any
+	b, err := json.Marshal(v)
+	if err != nil || json.Unmarshal(b, &m) != nil {
+		return
+	}
+	for k, x := range m {
+		switch x := x.(type) {
+		case float64:
+			s.Gauge(k).Update(x)
+		case bool:
+			s.Gauge(k).Update(number(x))
+		case map[string]any:
+			gauges(s.SubScope(k), x)
+		}
+	}
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func ignoreClosed(err error) error {
 	if err == http.ErrServerClosed {
 		return nil
--- /dev/null
+++ b/process/process_test.go
@@ -0,0 +1,87 @@
+package process
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/keyring"
+)
+
+func newProcess(t *testing.T, log io.Writer) (*Process, keyring.Secret) {
+	t.Helper()
+	k := keyring.NewSecret(1)
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	p, err := New(Options{
+		Zone: 1, Link: netip.MustParseAddrPort("127.0.0.1:7"), Peer: any, Operator: any,
+		Platform: "http://127.0.0.1:1", Keys: []string{k.Reveal()}, Token: "platform-token",
+	}, fleet.RoleBalancer, 0, slog.New(slog.NewJSONHandler(log, nil)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.server.Close(); p.operator.Close(); p.closer.Close(); p.Peers.Close() })
+	return p, k
+}
+
+func page(p *Process, path string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	p.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	return w
+}
+
+func TestOperatorPage(t *testing.T) {
+	p, _ := newProcess(t, io.Discard)
+	p.SetState(func() any {
+		return struct {
+			Forwarded int            `json:"forwarded"`
+			Leaving   bool           `json:"leaving"`
+			Load      map[string]int `json:"load"`
+		}{7, true, map[string]int{"slots": 5}}
+	})
+	if c := page(p, "/readyz").Code; c != http.StatusServiceUnavailable {
+		t.Errorf("readiness before the first bundle: %d", c)
+	}
+	p.SetReady(true)
+	if c := page(p, "/readyz").Code; c != http.StatusOK {
+		t.Errorf("readiness: %d", c)
+	}
+	var s Status
+	if err := json.NewDecoder(page(p, "/state").Body).Decode(&s); err != nil || len(s.Members) != 1 || !s.Ready {
+		t.Errorf("state %+v, %v", s, err)
+	}
+	p.setGauges()
+	p.closer.Close() // hands the gauges to the reporter
+	m := page(p, "/metrics").Body.String()
+	for _, want := range []string{"pomeloway_ready 1", "pomeloway_balancer_forwarded 7", "pomeloway_balancer_leaving 1", "pomeloway_balancer_load_slots 5"} {
+		if !strings.Contains(m, want) {
+			t.Errorf("metrics lack %q:\n%s", want, m)
+		}
+	}
+}
+
+// An operator pastes a process's state or log into a ticket. Whoever reads it
+// must not be able to forge the fleet's datagrams afterwards.
+func TestSecretsAreNeverShown(t *testing.T) {
+	var log strings.Builder
+	p, k := newProcess(t, &log)
+	p.Log.Add(6001, slog.Any("key", k), slog.Any("ring", p.Keys()))
+	_, secret, _ := strings.Cut(k.Reveal(), ":")
+	_, err := keyring.Parse([]string{k.Reveal() + "x"})
+	for name, text := range map[string]string{
+		"state": page(p, "/state").Body.String(), "version": page(p, "/version").Body.String(),
+		"metrics": page(p, "/metrics").Body.String(), "log": log.String(), "error": err.Error(),
+	} {
+		if strings.Contains(text, secret) || strings.Contains(text, "platform-token") {
+			t.Errorf("the %s shows a secret: %s", name, text)
+		}
+	}
+	if !strings.Contains(log.String(), k.Fingerprint()) {
+		t.Errorf("the log does not name the key by its fingerprint: %s", log.String())
+	}
+}
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -175,6 +175,7 @@
 	m.HandleFunc("GET /screen", u.screen)
 	m.HandleFunc("POST /order", u.order)
 	m.HandleFunc("POST /upload", u.upload)
+	m.HandleFunc("POST /echo", u.echo)
 	m.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, map[string]uint64{"served": u.Served.Load(), "overSlots": u.OverSlots.Load(), "overCold": u.OverCold.Load()})
 	})
@@ -348,3 +349,18 @@
 	}
 	u.reply(w, Reply{Caller: r.URL.Query().Get("caller"), SHA256: hex.EncodeToString(h.Sum(nil))})
 }
+
+// echo sends the request's body back as it comes.
+func (u *Upstream) echo(w http.ResponseWriter, r *http.Request) {
+	if !u.work(w, r) {
+		return
+	}
+	c := http.NewResponseController(w)
+	c.EnableFullDuplex()
+	c.Flush()
+	_, err := io.Copy(w, r.Body)
+	u.end(err == nil)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
