--- a/peer/node.go
+++ b/peer/node.go
@@ -37,6 +37,8 @@
 	// renewEvery is how often a member writes its record anew, so that records
 	// nobody renews can be told from live ones.
 	renewEvery    = 10 * time.Minute
+	// emptyWait is how long a process leaves an empty store alone.
+	emptyWait     = 2 * time.Second
 	collectEvery  = time.Minute
 	reapAfter     = 2 * time.Minute
 	currentBundle = "current"
@@ -337,6 +339,10 @@
 		}
 		at = l.Revision
 		n.takeObjects(l.Objects)
+		// A store that nobody has written to answers a watch at once.
+		if at == 0 && !sleep(ctx, emptyWait) {
+			return
+		}
 	}
 }
 
