--- a/peer/node.go
+++ b/peer/node.go
@@ -1,5 +1,5 @@
-// This file keeps a process's view of the fleet up to date. A few balancers of
-// each zone, chosen by rendezvous hashing, watch the platform and follow the
+// This file keeps a process's view of the fleet up to date. Some balancers of
+// each zone, one for forty processes, chosen by rendezvous hashing, watch the platform and follow the
 // relays of the other zones; everybody else follows one of their zone's relays.
 // So the platform carries a few watches a zone, whatever the fleet's size, and
 // an outage of it stops nothing: views pass from peer to peer. A process that
@@ -27,8 +27,11 @@
 )
 
 const (
-	// relays is how many balancers of a zone watch the platform.
-	relays = 2
+	// relaysLeast is how many balancers of a zone watch the platform at least,
+	// and followersMost how many processes each is to serve: a change of the
+	// bundle goes to all of them from its line.
+	relaysLeast   = 2
+	followersMost = 40
 	// watchWait is how long one long poll waits.
 	watchWait = 20 * time.Second
 	// retryFirst and retryMost bound the jittered wait after a failed call.
@@ -36,7 +39,7 @@
 	retryMost  = 10 * time.Second
 	// renewEvery is how often a member writes its record anew, so that records
 	// nobody renews can be told from live ones.
-	renewEvery    = 10 * time.Minute
+	renewEvery = 10 * time.Minute
 	// emptyWait is how long a process leaves an empty store alone.
 	emptyWait     = 2 * time.Second
 	collectEvery  = time.Minute
@@ -152,13 +155,18 @@
 	ms, _ := n.State.Snapshot()
 	doubts := n.State.Doubted()
 	out := map[bundle.ZoneID][]fleet.Member{}
+	size := map[bundle.ZoneID]int{}
 	for _, m := range ms {
-		if m.Role == fleet.RoleBalancer && m.Phase == fleet.PhaseReady && !doubts[m.ID] {
+		if m.Phase != fleet.PhaseReady || doubts[m.ID] {
+			continue
+		}
+		size[m.Zone]++
+		if m.Role == fleet.RoleBalancer {
 			out[m.Zone] = append(out[m.Zone], m)
 		}
 	}
 	for z := range out {
-		out[z] = fleet.Rank(relayKey, out[z], relays)
+		out[z] = fleet.Rank(relayKey, out[z], max(relaysLeast, size[z]/followersMost))
 	}
 	return out
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -228,27 +228,40 @@
 	})
 }
 
-func TestRelaysAreTwoOfEachZone(t *testing.T) {
-	var ms []fleet.Member
-	for z := range 4 {
-		for h := range 10 {
-			ms = append(ms, member(fleet.RoleBalancer, byte(h+1), bundle.ZoneID(z+1), 1))
-		}
-	}
-	relaysFound := 0
-	for _, m := range ms {
-		n := testNode(&standin.Platform{}, m)
-		n.State.Merge(fleet.Change{Members: ms})
-		relay, peers := n.sources()
-		if relay {
-			relaysFound++
-		}
-		if len(peers) == 0 || !relay && peers[0].Addr().As4()[2] != byte(m.Zone) {
-			t.Errorf("%s follows %v first", m.ID, peers)
-		}
-	}
-	if relaysFound != 4*relays {
-		t.Errorf("%d relays in 4 zones", relaysFound)
+func TestRelaysGrowWithTheZone(t *testing.T) {
+	for name, x := range map[string]struct{ agents, want int }{"small": {10, 2}, "large": {300, 7}} {
+		t.Run(name, func(t *testing.T) {
+			var ms []fleet.Member
+			for z := range 4 {
+				for h := range 10 {
+					ms = append(ms, member(fleet.RoleBalancer, byte(h+1), bundle.ZoneID(z+1), 1))
+				}
+				for i := range x.agents {
+					m := member(fleet.RoleAgent, byte(i), bundle.ZoneID(z+1), 1)
+					m.Link = netip.AddrPortFrom(m.Link.Addr(), uint16(8000+i))
+					m.ID = fleet.NewID(m.Role, m.Link)
+					ms = append(ms, m)
+				}
+			}
+			found := 0
+			for _, m := range ms {
+				if m.Role != fleet.RoleBalancer {
+					continue
+				}
+				n := testNode(&standin.Platform{}, m)
+				n.State.Merge(fleet.Change{Members: ms})
+				relay, peers := n.sources()
+				if relay {
+					found++
+				}
+				if len(peers) == 0 || !relay && peers[0].Addr().As4()[2] != byte(m.Zone) {
+					t.Errorf("%s follows %v first", m.ID, peers)
+				}
+			}
+			if found != 4*x.want {
+				t.Errorf("%d relays in 4 zones", found)
+			}
+		})
 	}
 }
 
