Make the test of uploads fail without its guard

The test's wire between agents handed the request over before any of its body had left, so the refusal cost nothing. Measured: without the question the test fails with 'too much of the request was read to send it again'; with it, it passes, and so do the 1,000 histories.

--- a/agent/history_test.go
+++ b/agent/history_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -200,6 +201,9 @@
 	return &http.Response{StatusCode: status, Header: http.Header{upstream.HeaderRequest: {id}}, Body: io.NopCloser(strings.NewReader(body))}
 }
 
+// inFlight is how much of a body leaves before a refusal comes back.
+const inFlight = 2 * replayMost
+
 // wirePeers is the way between agents.
 type wirePeers struct{ w *world }
 
@@ -213,8 +217,17 @@
 		if worldAddr(i).String() != r.URL.Host {
 			continue
 		}
+		// A real connection carries the body's beginning before the answer.
+		c := r.Clone(r.Context())
+		if r.Body != nil {
+			head, err := io.ReadAll(io.LimitReader(r.Body, inFlight))
+			if err != nil {
+				return nil, err
+			}
+			c.Body = io.NopCloser(io.MultiReader(bytes.NewReader(head), r.Body))
+		}
 		rec := httptest.NewRecorder()
-		p.w.agent(i).peerHandler().ServeHTTP(rec, r.Clone(r.Context()))
+		p.w.agent(i).peerHandler().ServeHTTP(rec, c)
 		if fate == 1 {
 			return nil, errWire // the answer is lost
 		}
