Split the node's and the site's files, and keep one sleep

Change: the node's dealings with the platform, the site's upstreams and its certificate have files of their own; one Sleep, one Immediately. Measured: tests of the packages pass as before; no behaviour is changed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -193,7 +193,7 @@
 	defer t.Stop()
 	weigh := time.NewTicker(weighEvery)
 	defer weigh.Stop()
-	changed := closedChannel()
+	changed := fleet.Immediately()
 	for {
 		select {
 		case <-changed:
@@ -210,12 +210,6 @@
 	}
 }
 
-func closedChannel() <-chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}
-
 // collectEvery is how many reviews pass between two collections.
 const collectEvery = 240
 
--- a/agent/leave.go
+++ b/agent/leave.go
@@ -10,6 +10,7 @@
 	"pomeloway.example/pomeloway/events"
 	"pomeloway.example/pomeloway/fleet"
 	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/peer"
 )
 
 const (
@@ -49,13 +50,13 @@
 	a.Log.Add(events.Draining, slog.String("program", "agent"), slog.Int("flows", a.flows.len()), slog.Int64("running", a.disp.running.Load()))
 	a.stopping.Store(true)
 	if a.disp.guards.Has(guard.Drain) {
-		wait(ctx, unguarded)
+		peer.Sleep(ctx, unguarded)
 		return nil
 	}
 	a.disp.leaving.Store(true)
 	a.SetReady(false)
 	a.Node.SetPhase(fleet.PhaseLeaving)
-	wait(ctx, spread)
+	peer.Sleep(ctx, spread)
 	end, stop := context.WithTimeout(ctx, a.opts.Drain)
 	defer stop()
 	a.h3.Shutdown(end) // GOAWAY, then waits for the running requests
@@ -64,24 +65,13 @@
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // stayHome goes on answering for the idempotency keys that were issued here.
 //
 // If the home went at once, a retry of an order whose answer was lost would
 // find nobody who knows of it, and end as unknown for a planned stop.
 func (a *Agent) stayHome(ctx context.Context) {
 	for time.Now().Before(a.front.orders.journal.Until()) || a.disp.running.Load() > 0 {
-		if !wait(ctx, keyPoll) {
+		if !peer.Sleep(ctx, keyPoll) {
 			return
 		}
 	}
@@ -96,7 +86,7 @@
 		return nil
 	}
 	c := &http.Client{Timeout: healthEvery}
-	for wait(ctx, healthEvery) {
+	for peer.Sleep(ctx, healthEvery) {
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.opts.Upstream.String()+a.opts.Health, nil)
 		if err != nil {
 			return err
--- a/balancer/observer.go
+++ b/balancer/observer.go
@@ -62,7 +62,7 @@
 	o.subjects = map[netip.AddrPort]*subject{}
 	t := time.NewTicker(heartbeatEvery)
 	defer t.Stop()
-	changed := closedChannel()
+	changed := fleet.Immediately()
 	for {
 		select {
 		case <-changed:
@@ -78,12 +78,6 @@
 	}
 }
 
-func closedChannel() <-chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}
-
 // assign finds the members that this balancer observes.
 func (o *observer) assign(now time.Time) {
 	ms, _ := o.node.State.Snapshot()
--- a/demo/callers.go
+++ b/demo/callers.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"pomeloway.example/pomeloway/agent"
+	"pomeloway.example/pomeloway/peer"
 	"pomeloway.example/pomeloway/standin"
 )
 
@@ -81,7 +82,7 @@
 			return nil
 		}
 		c.openFailed(err)
-		pause(ctx, reopenAfter)
+		peer.Sleep(ctx, reopenAfter)
 	}
 	return nil
 }
@@ -100,17 +101,8 @@
 	c.rec.do(func(r *Report) { r.FlowsFailedToOpen++ })
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (c *caller) think(ctx context.Context) {
-	pause(ctx, time.Duration(c.rand.Int64N(int64(thinkMost))))
+	peer.Sleep(ctx, time.Duration(c.rand.Int64N(int64(thinkMost))))
 }
 
 // each opens flows and uses each for a while; use returns false when the flow
@@ -145,7 +137,7 @@
 		if !errors.Is(err, errFeedRefused) {
 			return c.went(ctx, f, err, "feed")
 		}
-		pause(ctx, time.Duration(c.rand.Int64N(int64(time.Second))))
+		peer.Sleep(ctx, time.Duration(c.rand.Int64N(int64(time.Second))))
 	}
 }
 
@@ -258,11 +250,11 @@
 					x.RefusedButRun++
 				}
 			})
-			pause(ctx, r.retry/4)
+			peer.Sleep(ctx, r.retry/4)
 		default:
 			c.rec.do(func(x *Report) { x.RequestsUnknown++ })
 			c.rec.cause(fmt.Sprintf("order unknown: %s", r.body))
-			pause(ctx, reopenAfter)
+			peer.Sleep(ctx, reopenAfter)
 		}
 	}
 	return false, f == own
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/peer"
 )
 
 // ErrBroken says that the run broke an invariant; the report lists which.
@@ -80,7 +81,7 @@
 // watchShares samples how flows spread over the upstreams that take new ones.
 func (s *Site) watchShares(ctx context.Context, rec *recorder) {
 	for ctx.Err() == nil {
-		pause(ctx, sampleEvery)
+		peer.Sleep(ctx, sampleEvery)
 		rec.sampleShares(s.takers())
 	}
 }
--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -13,6 +13,7 @@
 
 	"pomeloway.example/pomeloway/agent"
 	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/peer"
 	"pomeloway.example/pomeloway/standin"
 )
 
@@ -372,7 +373,7 @@
 				}
 				mu.Unlock()
 				if r.status != http.StatusOK {
-					pause(ctx, r.retry)
+					peer.Sleep(ctx, r.retry)
 				}
 			}
 		})
--- a/demo/progress.go
+++ b/demo/progress.go
@@ -7,6 +7,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"pomeloway.example/pomeloway/peer"
 )
 
 // progress shows how a run goes on: one line that is redrawn on a terminal, a
@@ -49,7 +51,7 @@
 // run redraws until the run ends.
 func (p *progress) run(ctx context.Context) {
 	for p.live && ctx.Err() == nil {
-		pause(ctx, redraw)
+		peer.Sleep(ctx, redraw)
 		p.draw()
 	}
 	fmt.Fprintf(p.w, "%s%5.1fs  callers end what they began\n", p.clear(), time.Since(p.start).Seconds())
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -16,6 +16,7 @@
 
 	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/peer"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -111,6 +112,6 @@
 		s.Kill(dead)
 		s.SyncFabric(dead)
 		time.AfterFunc(staleFabric, func() { s.SyncFabric() })
-		pause(ctx, time.Second)
+		peer.Sleep(ctx, time.Second)
 	}
 }
--- a/demo/site.go
+++ b/demo/site.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"fmt"
 	"log/slog"
-	"math/big"
 	"net"
 	"net/http"
 	"net/netip"
@@ -274,85 +269,6 @@
 	}
 }
 
-// AddUpstream starts a cold upstream of the i-th service with its agent.
-func (s *Site) AddUpstream(i int, z bundle.ZoneID) (*unit, error) {
-	return s.startUnit(i, z, s.newHost())
-}
-
-func (s *Site) startUnit(i int, z bundle.ZoneID, h netip.Addr) (*unit, error) {
-	d := s.Deployment.Services[i]
-	u := &unit{
-		Upstream: &standin.Upstream{
-			Service: string(d.Name), Name: h.String(), Zone: string(s.Deployment.Zones[z-1]),
-			Slots: d.Slots, ColdSlots: coldSlots, ColdAnswers: coldAnswers, Work: upstreamWork, Ledger: s.Ledger,
-		},
-		service: i, zone: z, done: make(chan struct{}),
-	}
-	l, err := net.Listen("tcp", netip.AddrPortFrom(h, 0).String())
-	if err != nil {
-		return nil, err
-	}
-	u.server = &http.Server{Handler: u.Handler()}
-	s.wait.Go(func() { u.server.Serve(l) })
-	u.opts = agent.Options{
-		Options: s.options(h, z), Service: bundle.ServiceID(i + 1), Health: s.health,
-		Upstream: l.Addr().(*net.TCPAddr).AddrPort(), TLS: s.serve, Drain: time.Hour,
-	}
-	return u, s.startAgent(u)
-}
-
-// upstreamWork is how long a warm upstream works on a request.
-const upstreamWork = 20 * time.Millisecond
-
-func (s *Site) startAgent(u *unit) error {
-	a, err := agent.New(u.opts, s.log, s.off)
-	if err != nil {
-		return err
-	}
-	a.Node.Lag = s.Lag
-	ctx, stop := context.WithCancel(context.Background())
-	u.agent, u.stop = a, stop
-	s.wait.Go(func() {
-		defer close(u.done)
-		if err := a.Run(ctx); err != nil {
-			s.log.Error("agent ended", "error", err)
-		}
-	})
-	s.mu.Lock()
-	s.upstreams = append(s.upstreams, u)
-	s.ever = append(s.ever, u)
-	s.mu.Unlock()
-	return nil
-}
-
-// StopUnit stops an upstream and its agent gracefully.
-func (s *Site) StopUnit(u *unit) {
-	u.stop()
-	<-u.done
-	s.removeUnit(u)
-	u.server.Close()
-}
-
-// KillUnit ends an upstream and its agent as the loss of a VM would.
-func (s *Site) KillUnit(u *unit) {
-	s.removeUnit(u)
-	u.gone.Store(true)
-	u.server.Close()
-	u.agent.Kill()
-	<-u.done
-}
-
-func (s *Site) removeUnit(u *unit) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, x := range s.upstreams {
-		if x == u {
-			s.upstreams = append(s.upstreams[:i:i], s.upstreams[i+1:]...)
-			return
-		}
-	}
-}
-
 // Units returns the running upstreams.
 func (s *Site) Units() []*unit {
 	s.mu.Lock()
@@ -499,32 +415,6 @@
 	s.wait.Wait()
 }
 
-const callerName = "pomeloway.demo"
-
-// selfSigned returns the TLS settings of agents and of callers that trust them.
-func selfSigned() (serve, call *tls.Config, err error) {
-	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return nil, nil, eris.Wrap(err, "certificate")
-	}
-	t := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: callerName}, DNSNames: []string{callerName},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(24 * time.Hour), IsCA: true, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, t, t, k.Public(), k)
-	if err != nil {
-		return nil, nil, eris.Wrap(err, "certificate")
-	}
-	c, err := x509.ParseCertificate(der)
-	if err != nil {
-		return nil, nil, eris.Wrap(err, "certificate")
-	}
-	roots := x509.NewCertPool()
-	roots.AddCert(c)
-	serve = &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: k}}}
-	return serve, &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots, ServerName: callerName, NextProtos: []string{"h3"}}, nil
-}
-
 func (s *Site) String() string {
 	return fmt.Sprintf("%s at 127.%d.%d", s.Deployment.Name, s.net, s.index)
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -84,6 +84,14 @@
 	return s.changed
 }
 
+// Immediately returns a channel that is closed already, in place of the first
+// change for those who begin to follow.
+func Immediately() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
 // Accepted returns the bundle in force, or nil before the first.
 func (s *State) Accepted() *bundle.Accepted {
 	s.mu.Lock()
--- a/peer/node.go
+++ b/peer/node.go
@@ -10,10 +10,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -127,10 +124,11 @@
 
 // pause waits for the jittered backoff; it returns false when the context ends.
 func pause(ctx context.Context, b *backoff.ExponentialBackOff) bool {
-	return sleep(ctx, b.NextBackOff())
+	return Sleep(ctx, b.NextBackOff())
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits for the duration; it returns false when the context ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -267,7 +265,7 @@
 		}
 		return false
 	}
-	if n.Lag != nil && !sleep(ctx, n.Lag()) {
+	if n.Lag != nil && !Sleep(ctx, n.Lag()) {
 		return false
 	}
 	n.take(c, "peer "+a.String())
@@ -317,230 +315,13 @@
 	}
 }
 
-// watch reads the platform: all the time as a relay, else while no peer is
-// known or no bundle was heard of.
-func (n *Node) watch(ctx context.Context) {
-	b := newBackoff()
-	var at platform.Revision
-	for ctx.Err() == nil {
-		if !n.needsPlatform() {
-			if !sleep(ctx, time.Second+rand.N(time.Second)) {
-				return
-			}
-			continue
-		}
-		l, err := n.Platform.List(ctx, at, watchWait, platform.KindBundle, platform.KindMember)
-		n.platformHeard(ctx, err)
-		if err != nil {
-			if !pause(ctx, b) {
-				return
-			}
-			continue
-		}
-		b.Reset()
-		if l.Revision < at {
-			at = 0 // the store was restored from an older copy: read it all
-			continue
-		}
-		if n.Lag != nil && !sleep(ctx, n.Lag()) {
-			return
-		}
-		at = l.Revision
-		n.takeObjects(l.Objects)
-		// A store that nobody has written to answers a watch at once.
-		if at == 0 && !sleep(ctx, emptyWait) {
-			return
-		}
-	}
-}
-
-func (n *Node) needsPlatform() bool {
-	relay, src := n.sources()
-	return relay || len(src) == 0 || n.State.Accepted() == nil
-}
-
-func (n *Node) platformHeard(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	n.mu.Lock()
-	was := n.down
-	n.down = err != nil
-	n.mu.Unlock()
-	switch {
-	case err != nil && !was:
-		n.Log.Add(events.PlatformDown, slog.String("error", err.Error()))
-	case err == nil && was:
-		n.Log.Add(events.PlatformUp)
-	}
-}
-
-// PlatformDown reports whether the last call to the platform failed.
-func (n *Node) PlatformDown() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.down
-}
-
-func (n *Node) takeObjects(os []platform.Object) {
-	var c fleet.Change
-	for _, o := range os {
-		switch o.Kind {
-		case platform.KindBundle:
-			if s, err := bundle.DecodeSigned(o.Value); err == nil && !o.Deleted && o.Name == currentBundle {
-				c.Bundle = &s
-			}
-		case platform.KindMember:
-			var m fleet.Member
-			if err := json.Unmarshal(o.Value, &m); err != nil {
-				n.Log.Add(events.LinkRefused, slog.String("object", o.Name), slog.String("error", err.Error()))
-				continue
-			}
-			if o.Deleted {
-				m.Phase = fleet.PhaseLeft
-				m.Revision++
-			}
-			c.Members = append(c.Members, m)
-		}
-	}
-	n.take(c, "platform")
-}
-
-// publish writes the node's own record when it changes and every renewEvery.
-func (n *Node) publish(ctx context.Context) {
-	b := newBackoff()
-	for ctx.Err() == nil {
-		n.tell(ctx)
-		if err := n.write(ctx); err != nil {
-			n.platformHeard(ctx, err)
-			if !pause(ctx, b) {
-				return
-			}
-			continue
-		}
-		b.Reset()
-		select {
-		case <-n.announce:
-		case <-time.After(renewEvery + rand.N(renewEvery/10)):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// tellMost is how many peers a node tells of its own change directly, so that
-// it is known while the platform is down.
-const tellMost = 2
-
-func (n *Node) tell(ctx context.Context) {
-	_, src := n.sources()
-	for _, a := range src[:min(tellMost, len(src))] {
-		if err := n.Client.Announce(ctx, a, fleet.Change{Members: []fleet.Member{n.Self()}}); err != nil && ctx.Err() == nil {
-			n.Log.Add(events.PeerDown, slog.String("peer", a.String()), slog.String("error", err.Error()))
-		}
-	}
-}
-
-// write puts the record into the platform on the condition that the object is
-// as this life last saw it.
-//
-// A holder that was paused past the removal of its object, or past the start of
-// the next life at its address, would write a dead record over a live one; it
-// shows as a failed condition, after which the object is read and only replaced
-// if it is of an older life.
-func (n *Node) write(ctx context.Context) error {
-	n.mu.Lock()
-	m, at := n.self, n.written
-	n.mu.Unlock()
-	if m.Phase == fleet.PhaseLeft {
-		return nil
-	}
-	o, err := n.put(ctx, m, at)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
-		return n.resolve(ctx, m)
-	}
-	if err != nil {
-		return err
-	}
-	n.setWritten(o.Revision)
-	return nil
-}
-
-func (n *Node) put(ctx context.Context, m fleet.Member, at platform.Revision) (platform.Object, error) {
-	if at == 0 {
-		return n.Platform.Create(ctx, platform.KindMember, string(m.ID), m)
-	}
-	return n.Platform.Update(ctx, platform.KindMember, string(m.ID), m, at)
-}
-
-func (n *Node) setWritten(r platform.Revision) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.written = r
-}
-
-// resolve reads back what the platform holds after a conflict or a lost answer.
-func (n *Node) resolve(ctx context.Context, m fleet.Member) error {
-	o, err := n.Platform.Get(ctx, platform.KindMember, string(m.ID))
-	if errors.Is(err, platform.ErrNotFound) {
-		n.setWritten(0)
-		return errRetry
-	}
-	if err != nil {
-		return err
-	}
-	var held fleet.Member
-	if err := json.Unmarshal(o.Value, &held); err == nil && held.Incarnation > m.Incarnation {
-		return nil // the next life at this address owns the object
-	}
-	n.setWritten(o.Revision)
-	if held == m {
-		return nil
-	}
-	return errRetry
-}
-
-var errRetry = errors.New("object changed while it was written; trying again")
-
 // collect forgets what has ended and, as a relay, removes dead members' objects.
 func (n *Node) collect(ctx context.Context) {
 	since := map[fleet.MemberID]time.Time{}
-	for sleep(ctx, collectEvery) {
+	for Sleep(ctx, collectEvery) {
 		n.State.Collect()
 		if relay, _ := n.sources(); relay {
 			n.reap(ctx, since)
 		}
 	}
 }
-
-// reap removes the objects of members that stayed doubted. The conditional
-// delete is the guard: a member that wrote in between has changed its object.
-func (n *Node) reap(ctx context.Context, since map[fleet.MemberID]time.Time) {
-	doubts := n.State.Doubted()
-	for id := range since {
-		if !doubts[id] {
-			delete(since, id)
-		}
-	}
-	for id := range doubts {
-		t, ok := since[id]
-		if !ok {
-			since[id] = time.Now()
-			continue
-		}
-		if time.Since(t) > reapAfter {
-			n.remove(ctx, id)
-		}
-	}
-}
-
-func (n *Node) remove(ctx context.Context, id fleet.MemberID) {
-	m, ok := n.State.Member(id)
-	o, err := n.Platform.Get(ctx, platform.KindMember, string(id))
-	var held fleet.Member
-	if err != nil || !ok || json.Unmarshal(o.Value, &held) != nil || held.Incarnation != m.Incarnation {
-		return
-	}
-	if n.Platform.Delete(ctx, platform.KindMember, string(id), o.Revision) == nil {
-		n.Log.Add(events.MemberRemoved, slog.String("member", string(id)))
-	}
-}
