--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/quic-go/quic-go/http3"
+
 	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/fleet"
 	"pomeloway.example/pomeloway/keyring"
@@ -69,6 +72,29 @@
 	}
 }
 
+// The same, by a stranger who does not care whom it speaks to: only the server's
+// own look at the caller's key is left to stop it.
+func TestServerRefusesAStrangerByItself(t *testing.T) {
+	v, s := startServer(t, keyring.Ring{keyring.NewSecret(1)})
+	i, err := NewIdentity(keyring.Ring{keyring.NewSecret(1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := i.ClientTLS()
+	c.VerifyPeerCertificate = nil
+	tr := &http3.Transport{TLSClientConfig: c}
+	defer tr.Close()
+	b, _ := json.Marshal(fleet.Change{Members: []fleet.Member{member(fleet.RoleAgent, 1, 1, 1)}})
+	r, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "https://"+v.Addr().String()+pathAnnounce, bytes.NewReader(b))
+	if a, err := tr.RoundTrip(r); err == nil {
+		a.Body.Close()
+		t.Errorf("a stranger was answered with %d", a.StatusCode)
+	}
+	if ms, _ := s.Snapshot(); len(ms) != 0 {
+		t.Errorf("a stranger's member was taken: %v", ms)
+	}
+}
+
 // Operators rotate the fleet's key and retire the old one. A process that went on
 // presenting the key it had started with would be cut off from all its peers.
 func TestClientPresentsTheKeyOfTheMoment(t *testing.T) {
