--- /dev/null
+++ b/balancer/observer_test.go
@@ -0,0 +1,89 @@
+package balancer
+
+import (
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
+	"pomeloway.example/pomeloway/keyring"
+	"pomeloway.example/pomeloway/link"
+	"pomeloway.example/pomeloway/peer"
+)
+
+func testObserver(t *testing.T, ms ...fleet.Member) *observer {
+	t.Helper()
+	a := netip.MustParseAddrPort("127.0.0.1:7001")
+	self := fleet.Member{ID: fleet.NewID(fleet.RoleBalancer, a), Role: fleet.RoleBalancer, Zone: 1, Link: a, Peer: a, Incarnation: 1, Phase: fleet.PhaseReady}
+	log := events.NewLog(slog.New(slog.DiscardHandler))
+	n := peer.NewNode(fleet.NewState(nil), nil, nil, log, self)
+	n.State.Merge(fleet.Change{Members: ms})
+	var v atomic.Pointer[View]
+	v.Store(&View{links: link.NewKeys(keyring.Ring{secret})})
+	return &observer{node: n, link: socket(t), view: &v, log: log}
+}
+
+// play ticks the observer from one time to another.
+func (o *observer) play(from time.Time, d time.Duration) time.Time {
+	for end := from.Add(d); from.Before(end); from = from.Add(heartbeatEvery) {
+		o.tick(from)
+	}
+	return from
+}
+
+// A balancer's VM stands still for a minute, as they do when they are moved. When
+// it wakes every member seems silent for a minute; if it said so, and another one
+// had been moved as well, all agents would be held for dead at once.
+func TestObserverThatStoodStillDoubtsNobody(t *testing.T) {
+	m := agentAt(1, 1, 1)
+	m.Incarnation = 5
+	start := time.Unix(1_800_000_000, 0)
+	for name, x := range map[string]struct {
+		pause, silent time.Duration
+		doubted       bool
+	}{
+		"the member is silent":        {0, 4 * time.Second, true},
+		"the observer stood still":    {time.Minute, time.Second, false},
+		"both, the member for longer": {time.Minute, 4 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := testObserver(t, m)
+			o.assign(start)
+			now := o.play(start, time.Second)
+			o.heard(ack{from: m.Link, life: 5}, now)
+			now = o.play(now.Add(x.pause), x.silent)
+			if s := o.subjects[m.Link]; s == nil || s.doubted != x.doubted {
+				t.Errorf("subject %+v", s)
+			}
+			o.heard(ack{from: m.Link, life: 4}, now)
+			if x.doubted != o.subjects[m.Link].doubted {
+				t.Error("an answer of an earlier life cleared the doubt")
+			}
+			o.heard(ack{from: m.Link, life: 5}, now)
+			if o.subjects[m.Link].doubted {
+				t.Error("an answer did not clear the doubt")
+			}
+		})
+	}
+}
+
+// A member moves to other observers while this one doubts it. Nobody else can
+// take this one's word back, so it must do so itself.
+func TestDoubtIsWithdrawnWithTheDuty(t *testing.T) {
+	m := agentAt(1, 1, 1)
+	m.Incarnation = 5
+	start := time.Unix(1_800_000_000, 0)
+	o := testObserver(t, m)
+	o.assign(start)
+	now := o.play(start, 4*time.Second)
+	m.Phase, m.Revision = fleet.PhaseLeft, 1
+	o.node.State.Merge(fleet.Change{Members: []fleet.Member{m}})
+	o.assign(now)
+	_, os := o.node.State.Snapshot()
+	if len(os) != 1 || os[0].Doubted {
+		t.Errorf("opinions %+v", os)
+	}
+}
