--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,66 @@
+package capacity
+
+import (
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/keyring"
+)
+
+func TestSlopeFitsALine(t *testing.T) {
+	for name, x := range map[string]struct {
+		points               []Point
+		base, each, residual float64
+	}{
+		"a line": {[]Point{{1, 5}, {2, 7}, {4, 11}, {8, 19}}, 3, 2, 0},
+		"a bend": {[]Point{{1, 1}, {2, 4}, {3, 9}, {4, 16}}, -5, 5, 1.0 / 16},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewSlope("x", "thing", "B", x.points)
+			for what, d := range map[string]float64{"base": s.Base - x.base, "each": s.Each - x.each, "residual": s.Residual - x.residual} {
+				if math.Abs(d) > 1e-9 {
+					t.Errorf("%s is off by %v: %+v", what, d, s)
+				}
+			}
+		})
+	}
+}
+
+// The page extrapolates to 870 services; were the generated bundle not a real
+// one, its figures would say nothing.
+func TestGeneratedBundleIsValidAtFullSize(t *testing.T) {
+	b, err := bundle.Decode(Text(Addresses, keyring.NewSecret(1)))
+	if err != nil || len(b.Services) != Addresses || len(b.Zones) != Zones {
+		t.Fatalf("%v", err)
+	}
+	m := Member(Upstreams-1, Addresses)
+	if err := m.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestMeasuresAndPlotsSmallSizes(t *testing.T) {
+	bs, err := Bundles([]int{2, 4, 6, 8})
+	if err != nil {
+		t.Fatal(err)
+	}
+	vs, err := Views([]int{8, 16, 24, 32}, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := write(append(bs, vs...), Options{Plots: dir, JSON: dir + "/slopes.json"}); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range []string{"bundle-on-the-wire.svg", "view-merged.svg", "slopes.json"} {
+		if b, err := os.ReadFile(dir + "/" + f); err != nil || len(b) == 0 {
+			t.Errorf("%s: %d bytes, %v", f, len(b), err)
+		}
+	}
+	if s := bs[0].String(); !strings.Contains(s, "per service [B]") {
+		t.Errorf("row %q", s)
+	}
+}
