Read the bundle in force in one place of the command line

Cause: three commands had the same eight lines. Change: one function returns the desk and the bundle in force.

--- a/cli/bundle.go
+++ b/cli/bundle.go
@@ -45,6 +45,16 @@
 	return &operator.Desk{Store: &platform.Client{URL: o.Platform, Token: o.Token}, Verifier: v}, nil
 }
 
+// current returns the desk and the bundle in force, or nil before the first.
+func (o PlatformOptions) current(ctx context.Context) (*operator.Desk, *bundle.Accepted, error) {
+	d, err := o.desk()
+	if err != nil {
+		return nil, nil, err
+	}
+	a, err := d.Current(ctx)
+	return d, a, err
+}
+
 func (o SignOptions) key() (minisign.PrivateKey, error) {
 	b, err := os.ReadFile(o.Sign)
 	if err != nil {
@@ -119,11 +129,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := o.desk()
-	if err != nil {
-		return err
-	}
-	cur, err := d.Current(ctx)
+	_, cur, err := o.current(ctx)
 	if err != nil {
 		return err
 	}
@@ -207,11 +213,7 @@
 }
 
 func bundleShow(ctx context.Context, o BundleShow, s streams) error {
-	d, err := o.desk()
-	if err != nil {
-		return err
-	}
-	a, err := d.Current(ctx)
+	d, a, err := o.current(ctx)
 	if err == nil && o.Version != 0 {
 		a, err = d.History(ctx, o.Version)
 	}
@@ -226,11 +228,7 @@
 }
 
 func bundleHistory(ctx context.Context, o BundleHistory, s streams) error {
-	d, err := o.desk()
-	if err != nil {
-		return err
-	}
-	a, err := d.Current(ctx)
+	d, a, err := o.current(ctx)
 	if err != nil {
 		return err
 	}
