Remove what nothing calls

Cause: a second reading of the whole change found two look-ups of the bundle by name, a site's String and two fields of the balancer's services that nothing reads. Change: they are gone; behaviour and tests are as they were.

--- a/balancer/view.go
+++ b/balancer/view.go
@@ -36,8 +36,6 @@
 }
 
 type service struct {
-	id      bundle.ServiceID
-	address netip.AddrPort
 	// usable come first for openings, doubted only when those are too few.
 	usable, doubted []candidate
 }
@@ -65,7 +63,7 @@
 		for len(v.services) <= int(s.ID) {
 			v.services = append(v.services, nil)
 		}
-		v.services[s.ID] = &service{id: s.ID, address: s.Address}
+		v.services[s.ID] = &service{}
 	}
 	for i := range ms {
 		v.add(&ms[i], doubts[ms[i].ID])
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -39,26 +39,6 @@
 	return nil
 }
 
-// ServiceByName returns the service with the given name, or nil.
-func (b *Bundle) ServiceByName(name Name) *Service {
-	for n := range b.Services {
-		if b.Services[n].Name == name {
-			return &b.Services[n]
-		}
-	}
-	return nil
-}
-
-// ZoneByName returns the availability zone with the given name, or nil.
-func (b *Bundle) ZoneByName(name Name) *Zone {
-	for n := range b.Zones {
-		if b.Zones[n].Name == name {
-			return &b.Zones[n]
-		}
-	}
-	return nil
-}
-
 // ZoneOut reports whether operators have taken the availability zone out.
 // A zone that the bundle does not name counts as out.
 func (b *Bundle) ZoneOut(i ZoneID) bool {
--- a/demo/site.go
+++ b/demo/site.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -414,7 +413,3 @@
 	s.store.Close()
 	s.wait.Wait()
 }
-
-func (s *Site) String() string {
-	return fmt.Sprintf("%s at 127.%d.%d", s.Deployment.Name, s.net, s.index)
-}
