Bound the wait of the switched-off guards' scenario

Cause: to show the drain's guard the scenario waits for a flow to the upstream that will leave, and did so for every guard. With the token's guard off no flow opens at all, so the wait never ended and the whole package ran into its ten minutes; the goroutines at the end stood in that wait.

Change: only the drain's case waits for such a flow, for 20 s at most, and fails when none comes.

--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -312,13 +312,12 @@
 			var x *script
 			r := during(t, s, rec, 40, func(ctx context.Context) {
 				x = &script{s: s, rec: rec}
-				var f *flow // one that ends at the upstream that will leave
-				poll(ctx, func() bool { f = flowAt(ctx, s, s.Units()[0]); return f != nil })
-				defer f.close()
-				x.drain(ctx)
-				time.Sleep(3500 * time.Millisecond)
-				f.do(ctx, http.MethodGet, "/screen?caller=x", nil, "")
-				time.Sleep(500 * time.Millisecond)
+				if name == guard.Drain {
+					workAfterDrain(ctx, t, s, x)
+				} else {
+					x.drain(ctx)
+					time.Sleep(4 * time.Second)
+				}
 				if name == guard.Zone {
 					x.zoneOut(ctx)
 					time.Sleep(time.Duration(zoneOutLimit+1) * time.Second)
@@ -334,6 +333,21 @@
 	}
 }
 
+// workAfterDrain drains an upstream and asks it for more on a flow that it holds.
+func workAfterDrain(ctx context.Context, t *testing.T, s *Site, x *script) {
+	limit, stop := context.WithTimeout(ctx, 20*time.Second)
+	defer stop()
+	var f *flow
+	if poll(limit, func() bool { f = flowAt(limit, s, s.Units()[0]); return f != nil }) != nil {
+		t.Fatal("no flow came to the upstream that will leave")
+	}
+	defer f.close()
+	x.drain(ctx)
+	time.Sleep(3500 * time.Millisecond)
+	f.do(ctx, http.MethodGet, "/screen?caller=x", nil, "")
+	time.Sleep(500 * time.Millisecond)
+}
+
 // Twenty-five times the callers that the service has slots for. It must go on answering as
 // many as at its capacity, refuse the others at once and truthfully, and not be
 // driven up by its own retries.
