Count work as warned only when the answers could tell of the cold start

Its answers were slow already, so three more slow ones tell an agent nothing; only shedding does. Ruled out: work from before the turn (turns differ) and an agent that forgets a sign.

Change: the stand-in counts slow answers as signs only if it was warm when it turned; otherwise its first shed answer is the sign. A turn from warm is judged as before.

--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -66,9 +66,11 @@
 	bears   int
 	answers int
 	// signs counts the answers since it turned cold, told is when they were
-	// enough to know by.
-	signs int
-	told  time.Time
+	// enough to know by. Slow answers tell nothing if those before the turn were
+	// slow already (wasCold); then only a shed one does.
+	signs   int
+	told    time.Time
+	wasCold bool
 	// turns counts the times it turned cold; work begun before the last one
 	// tells nothing of it.
 	turns    int
@@ -89,8 +91,8 @@
 
 const (
 	coldFactor = 5
-	// Nobody can know of an unannounced turn before three slow answers or one
-	// that sheds, and a moment to act on them.
+	// Nobody can know of an unannounced turn before three answers slower than
+	// those before or one that sheds, and a moment to act on them.
 	enoughSigns = 3
 	reaction    = 100 * time.Millisecond
 )
@@ -99,6 +101,7 @@
 func (u *Upstream) TurnCold() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.wasCold = u.bears < u.Slots
 	u.bears, u.answers, u.signs, u.told = max(u.ColdSlots, 1), 0, 0, time.Time{}
 	u.turns++
 }
@@ -162,7 +165,9 @@
 	if !good || u.bears >= u.Slots || turn != u.turns {
 		return
 	}
-	u.sign(1)
+	if !u.wasCold {
+		u.sign(1)
+	}
 	if u.answers++; u.answers >= u.ColdAnswers {
 		u.answers, u.bears = 0, min(u.bears*2, u.Slots)
 	}
