Reset the flows of a zone that is out from the balancers

Cause: the agents of a zone that goes out close each flow by one datagram. If it is lost the caller sends on into silence, since balancers drop what is for the zone and the agent says no more, until its idle timeout.

Ways weighed: closing several times (lost together where the path is silent for a moment); letting the zone's agents answer on (the zone must be silent); a stateless reset by any balancer, which needs the fleet's reset key and the connection ID that the datagram carries, and no memory.

Left: callers of an upstream that died without a word still find out by their idle timeout, since a doubt is no proof.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -39,6 +39,8 @@
 	closed   bool
 	wait     sync.WaitGroup
 	zones    map[bundle.ZoneID]bool
+	// outSince is when this balancer learnt that a zone is out.
+	outSince map[bundle.ZoneID]time.Time
 }
 
 // New prepares a balancer and opens its own sockets.
@@ -54,7 +56,7 @@
 		s.Close()
 		return nil, err
 	}
-	b := &Balancer{Process: p, off: off, opts: o, link: s, zones: map[bundle.ZoneID]bool{}, kill: make(chan struct{})}
+	b := &Balancer{Process: p, off: off, opts: o, link: s, zones: map[bundle.ZoneID]bool{}, outSince: map[bundle.ZoneID]time.Time{}, kill: make(chan struct{})}
 	b.view.Store(&View{links: link.NewKeys(p.Keys())})
 	b.ports.Store(&portMap{})
 	p.SetState(func() any { return b.Counts() })
@@ -164,6 +166,7 @@
 	old := b.view.Load()
 	v := NewView(a, r, ms, b.State.Doubted())
 	v.off = b.off
+	b.planResets(v, a.Bundle)
 	b.view.Store(v)
 	if old.Version != v.Version {
 		b.Rekey(r)
@@ -173,6 +176,23 @@
 	b.SetReady(!v.zoneOut[b.opts.Zone] && !b.leaving.Load())
 }
 
+// planResets sets from when on flows of the zones that are out get resets: when
+// the agents' time to close them has passed, counted from when this balancer
+// learnt of it. Callers that were told by their agent never see one.
+func (b *Balancer) planResets(v *View, x *bundle.Bundle) {
+	wait := x.Timeouts.OrDefault().ZoneOutRun + resetMargin
+	for _, z := range x.Zones {
+		if z.State != bundle.ZoneStateOut {
+			delete(b.outSince, z.ID)
+			continue
+		}
+		if _, ok := b.outSince[z.ID]; !ok {
+			b.outSince[z.ID] = time.Now()
+		}
+		v.resetFrom[z.ID] = uint32(b.outSince[z.ID].Add(wait).Unix())
+	}
+}
+
 func (b *Balancer) logZones(x *bundle.Bundle) {
 	for _, z := range x.Zones {
 		out := z.State == bundle.ZoneStateOut
@@ -262,6 +282,7 @@
 	Lost      uint64 `json:"lost"`
 	Misrouted uint64 `json:"misrouted"`
 	ZoneOut   uint64 `json:"zoneOut"`
+	Reset     uint64 `json:"reset"`
 }
 
 // Counts returns what the balancer has done so far.
@@ -278,6 +299,7 @@
 		s.Lost += c.Lost.Load()
 		s.Misrouted += c.Misrouted.Load()
 		s.ZoneOut += c.ZoneOut.Load()
+		s.Reset += c.Reset.Load()
 	}
 	return s
 }
--- a/balancer/forwarder.go
+++ b/balancer/forwarder.go
@@ -18,8 +18,8 @@
 // Counters are what one forwarder or returner has done. Each has its own, so
 // counting shares no cache line.
 type Counters struct {
-	Forwarded, Opened, Returned, Dropped, Refused, Lost, Misrouted, ZoneOut atomic.Uint64
-	_                                                                       [64]byte
+	Forwarded, Opened, Returned, Dropped, Refused, Lost, Misrouted, ZoneOut, Reset atomic.Uint64
+	_                                                                              [64]byte
 }
 
 // port is the balancer's sockets on the address of one service, one for each
@@ -45,6 +45,7 @@
 	view  *atomic.Pointer[View]
 	log   *events.Log
 	count *Counters
+	reset resetter
 }
 
 // run forwards until the service's socket is closed.
@@ -70,6 +71,7 @@
 	v.Decide(f.id, b.Payload(i), o, &a)
 	f.record(&a, from)
 	if a.Verdict == VerdictDrop {
+		f.tell(v, &a, b.Payload(i), from, now)
 		return
 	}
 	m := link.Message{Kind: link.KindForward, Zone: f.zone, Service: f.id, Caller: from, Sent: now}
@@ -80,6 +82,18 @@
 	b.SendWithHeader(i, a.Target())
 }
 
+// tell ends the caller's flow if its zone's agents have closed theirs by now.
+func (f *forwarder) tell(v *View, a *Action, p []byte, from netip.AddrPort, now uint32) {
+	t := v.resetFrom[a.Zone]
+	if a.Reason != events.ReasonZoneOut || t == 0 || now < t {
+		return
+	}
+	if f.reset.reset(v.resets, p, from, f.in, now) {
+		f.count.Reset.Add(1)
+		f.log.Decide(events.Decision{ID: events.FlowReset, Reason: a.Reason, Service: f.id, Zone: a.Zone, Caller: from})
+	}
+}
+
 // record counts the decision, and logs it unless it was a token's look-up.
 func (f *forwarder) record(a *Action, from netip.AddrPort) {
 	d := events.Decision{Reason: a.Reason, Service: f.id, Zone: a.Zone, Caller: from, Target: a.Target(), Flow: a.Flow}
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -32,7 +32,12 @@
 	// opening's time in a large fleet.
 	services []*service
 	zoneOut  [256]bool
-	off      guard.Off
+	// resetFrom is when, in Unix seconds, the agents of a zone that is out have
+	// closed their flows, so that what callers still send is answered by a reset.
+	// Zero means never.
+	resetFrom [256]uint32
+	resets    resetKeys
+	off       guard.Off
 }
 
 type service struct {
@@ -51,6 +56,7 @@
 		Version: a.Version,
 		tokens:  quiclb.NewKeys(r),
 		links:   link.NewKeys(r),
+		resets:  newResetKeys(r),
 	}
 	for i := range v.zoneOut {
 		v.zoneOut[i] = true
--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,7 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"pomeloway.example/pomeloway/agent"
+	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/guard"
 	"pomeloway.example/pomeloway/peer"
 	"pomeloway.example/pomeloway/standin"
@@ -106,10 +110,16 @@
 	var last time.Duration
 	r := during(t, s, rec, 60, func(ctx context.Context) {
 		x := &script{s: s, rec: rec}
+		deaf := flowInZone(ctx, t, s, outZone)
+		defer deaf.close()
+		silence(t, deaf, false, true)
 		if err := x.zoneOut(ctx); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(3 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		silence(t, deaf, false, false)
+		mustBeReset(t, deaf)
+		time.Sleep(time.Until(x.outAt.Add(3 * time.Second)))
 		for _, u := range s.Units() {
 			if u.zone == outZone {
 				last = max(last, time.Unix(0, max(u.LastWork.Load(), u.LastSent.Load())).Sub(x.outAt))
@@ -130,6 +140,41 @@
 	}
 }
 
+// flowInZone opens flows until one ends in the zone.
+func flowInZone(ctx context.Context, t *testing.T, s *Site, z bundle.ZoneID) *flow {
+	t.Helper()
+	for range 200 {
+		f, err := openFlow(ctx, s, newRecorder(), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if bundle.ZoneID(f.zone.Load()) == z {
+			return f
+		}
+		f.close()
+	}
+	t.Fatal("no flow came to the zone")
+	return nil
+}
+
+// The one datagram that closed the flow was lost on its way, and its agent says
+// no more. The balancers must tell the caller at its next datagram, or a
+// teacher's screen stands still until the idle timeout.
+func mustBeReset(t *testing.T, f *flow) {
+	t.Helper()
+	start := time.Now()
+	select {
+	case <-f.conn.Context().Done():
+	case <-time.After(callerIdle + time.Second):
+		t.Fatal("the flow never ended")
+	}
+	var reset *quic.StatelessResetError
+	if err := context.Cause(f.conn.Context()); !errors.As(err, &reset) {
+		t.Errorf("the flow ended after %v by %v, not by a reset", time.Since(start), err)
+	}
+	t.Logf("a flow whose closing was lost ended %v after its path came back", time.Since(start))
+}
+
 // The platform is down. What was accepted stays; a balancer and an agent that
 // start now must serve all the same, from what their peers know; and when the
 // platform is back there is no storm of calls.
@@ -189,6 +234,29 @@
 	return f
 }
 
+// startFeed opens a flow with a feed of so many lines, ten a second; the channel
+// gets how it ended.
+func startFeed(t *testing.T, s *Site, rec *recorder, lines int) (*flow, <-chan error) {
+	t.Helper()
+	f, err := openFlow(t.Context(), s, rec, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.close)
+	done := make(chan error, 1)
+	go func() { done <- f.feed(t.Context(), "teacher", lines, 100*time.Millisecond) }()
+	return f, done
+}
+
+// silence drops what the caller sends, what comes back to it, or both.
+func silence(t *testing.T, f *flow, in, out bool) {
+	t.Helper()
+	from := f.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	if !f.s.Fabric.Silence(f.s.ServiceAddress(f.service), from, in, out) {
+		t.Fatal("the fabric does not know the caller")
+	}
+}
+
 // Something between caller and fabric forgets the flow: datagrams vanish in both
 // directions, for good, while new flows work. The teacher's screen goes on by
 // moving the flow to a new port, and the agent must follow.
@@ -196,18 +264,9 @@
 	for name, x := range map[string]struct{ in, out bool }{"both ways": {true, true}, "towards the caller": {false, true}, "from the caller": {true, false}} {
 		t.Run(name, func(t *testing.T) {
 			s, rec := startSite(t, "agency", guard.Off{})
-			f, err := openFlow(t.Context(), s, rec, 0)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer f.close()
-			done := make(chan error, 1)
-			go func() { done <- f.feed(t.Context(), "teacher", 80, 100*time.Millisecond) }()
+			f, done := startFeed(t, s, rec, 80)
 			time.Sleep(time.Second)
-			from := f.socket.LocalAddr().(*net.UDPAddr).AddrPort()
-			if !s.Fabric.Silence(s.ServiceAddress(0), from, x.in, x.out) {
-				t.Fatal("the fabric does not know the caller")
-			}
+			silence(t, f, x.in, x.out)
 			time.Sleep(2 * time.Second)
 			if err := f.move(t.Context()); err != nil {
 				t.Fatal(err)
@@ -224,15 +283,9 @@
 // flow held.
 func TestSilentPathIsFoundInSeconds(t *testing.T) {
 	s, rec := startSite(t, "agency", guard.Off{})
-	f, err := openFlow(t.Context(), s, rec, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.close()
-	done := make(chan error, 1)
-	go func() { done <- f.feed(t.Context(), "teacher", 1000, 100*time.Millisecond) }()
+	f, done := startFeed(t, s, rec, 1000)
 	time.Sleep(time.Second)
-	s.Fabric.Silence(s.ServiceAddress(0), f.socket.LocalAddr().(*net.UDPAddr).AddrPort(), true, true)
+	silence(t, f, true, true)
 	start := time.Now()
 	if err := <-done; err == nil {
 		t.Error("a feed that was cut ended as whole")
--- a/events/events.go
+++ b/events/events.go
@@ -18,6 +18,7 @@
 	FlowDropped     ID = 1005
 	FlowClosed      ID = 1006
 	FlowBalancer    ID = 1007
+	FlowReset       ID = 1008
 	RequestPlaced   ID = 2001
 	RequestPassed   ID = 2002
 	RequestRefused  ID = 2003
@@ -62,6 +63,7 @@
 	{FlowDropped, "datagram dropped", slog.LevelWarn},
 	{FlowClosed, "flow closed", slog.LevelInfo},
 	{FlowBalancer, "return path moved", slog.LevelInfo},
+	{FlowReset, "flow reset", slog.LevelInfo},
 	{RequestPlaced, "request placed", slog.LevelInfo},
 	{RequestPassed, "request passed on", slog.LevelInfo},
 	{RequestRefused, "request refused", slog.LevelWarn},
--- a/quiclb/packet.go
+++ b/quiclb/packet.go
@@ -51,3 +51,7 @@
 	}
 	return ClassEstablished, id
 }
+
+// IsShort reports whether the datagram has the short form, which only packets of
+// flows past their handshake have.
+func IsShort(p []byte) bool { return len(p) > 0 && p[0]&longForm == 0 }
