Measure requests beside the upstream called directly

Cause: nobody knew what the path adds to a request, whether slots stay busy, or what a long upload holds in memory.

Change: three benchmarks in package demo; the deployment can say how long its upstreams work.

--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -59,10 +59,10 @@
 	}
 }
 
-func echo(b *testing.B, f *flow) {
-	ctx, stop := context.WithTimeout(b.Context(), 2*time.Minute)
-	defer stop()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+callerName+"/echo", &pattern{left: echoed})
+// post sends so many bytes and returns the answer.
+func post(ctx context.Context, b *testing.B, f *flow, path string, size int) *http.Response {
+	b.Helper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+callerName+path, &pattern{left: size})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -70,6 +70,13 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	return a
+}
+
+func echo(b *testing.B, f *flow) {
+	ctx, stop := context.WithTimeout(b.Context(), 2*time.Minute)
+	defer stop()
+	a := post(ctx, b, f, "/echo", echoed)
 	defer a.Body.Close()
 	want, got := sha256.New(), sha256.New()
 	io.Copy(want, &pattern{left: echoed})
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"text/template"
+	"time"
 
 	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/keyring"
@@ -28,6 +29,9 @@
 	Upstreams, Slots, Connections int
 	// Upload says that callers upload to it; else they hold feeds and order.
 	Upload bool
+	// Work is how long a warm upstream works on a request; zero means
+	// upstreamWork.
+	Work time.Duration
 }
 
 // Deployments are the users' sites by name.
--- /dev/null
+++ b/demo/request_bench_test.go
@@ -0,0 +1,227 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/peer"
+)
+
+// benchSite starts a site of one service whose upstreams are warm.
+func benchSite(b *testing.B, z ServiceSize) *Site {
+	b.Helper()
+	d := Deployment{Name: "bench", Zones: Deployments["agency"].Zones, Balancers: 3, Services: []ServiceSize{z}}
+	s, err := NewSite(d, slog.New(slog.DiscardHandler), guard.Off{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(s.Close)
+	ctx, stop := context.WithTimeout(b.Context(), startTimeout)
+	defer stop()
+	if err := s.Start(ctx); err != nil {
+		b.Fatal(err)
+	}
+	warm(b, s)
+	return s
+}
+
+// warm orders until no upstream is cold and every agent knows it.
+func warm(b *testing.B, s *Site) {
+	b.Helper()
+	ctx, stop := context.WithTimeout(b.Context(), startTimeout)
+	defer stop()
+	var w sync.WaitGroup
+	for range 32 {
+		w.Go(func() {
+			f, err := openFlow(ctx, s, newRecorder(), 0)
+			if err != nil {
+				return
+			}
+			defer f.close()
+			for !isWarm(s) && ctx.Err() == nil {
+				f.do(ctx, http.MethodGet, "/screen?caller=x", nil, "")
+			}
+		})
+	}
+	w.Wait()
+	if !isWarm(s) {
+		b.Fatal("the upstreams did not become warm")
+	}
+}
+
+func isWarm(s *Site) bool {
+	for _, u := range s.Units() {
+		if u.Cold() || u.agent.Counts().Load.Slots < u.Slots {
+			return false
+		}
+	}
+	return true
+}
+
+// work has callers make requests one after another for the time, and returns how
+// long each took.
+func work(b *testing.B, d time.Duration, ask []func(context.Context) error) []time.Duration {
+	b.Helper()
+	ctx, stop := context.WithTimeout(b.Context(), d)
+	defer stop()
+	took := make([][]time.Duration, len(ask))
+	var w sync.WaitGroup
+	for i, f := range ask {
+		w.Go(func() {
+			for ctx.Err() == nil {
+				start := time.Now()
+				if err := f(b.Context()); err != nil {
+					b.Error(err)
+					return
+				}
+				took[i] = append(took[i], time.Since(start))
+			}
+		})
+	}
+	w.Wait()
+	return slices.Concat(took...)
+}
+
+// BenchmarkRequests has the same callers ask upstreams that answer at once,
+// first directly over HTTP/1.1, then through fabric, balancer and agent over
+// HTTP/3, turn by turn in one run. All ends share the machine's processors.
+func BenchmarkRequests(b *testing.B) {
+	for _, callers := range []int{1, 16, 64} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			s := benchSite(b, ServiceSize{Name: "web", Upstreams: 3, Slots: 64, Connections: 2000, Work: time.Nanosecond})
+			direct, through := directCallers(b, s, callers), throughCallers(b, s, callers)
+			var d, t []time.Duration
+			const turn = time.Second
+			for b.Loop() {
+				d = append(d, work(b, turn, direct)...)
+				t = append(t, work(b, turn, through)...)
+			}
+			seconds := turn.Seconds() * float64(b.N)
+			b.ReportMetric(float64(len(d))/seconds, "direct/s")
+			b.ReportMetric(float64(len(t))/seconds, "through/s")
+			for name, q := range map[string]float64{"p50": 0.5, "p99": 0.99, "p99.9": 0.999} {
+				b.ReportMetric(quantile(d, q)*1e6, name+"-direct-us")
+				b.ReportMetric((quantile(t, q)-quantile(d, q))*1e6, name+"-added-us")
+			}
+		})
+	}
+}
+
+func directCallers(b *testing.B, s *Site, n int) (out []func(context.Context) error) {
+	units := s.Units()
+	tr := &http.Transport{MaxIdleConnsPerHost: n}
+	b.Cleanup(tr.CloseIdleConnections)
+	for i := range n {
+		url := "http://" + units[i%len(units)].opts.Upstream.String() + "/screen?caller=x"
+		out = append(out, func(ctx context.Context) error {
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+			if err != nil {
+				return err
+			}
+			a, err := tr.RoundTrip(r)
+			if err != nil {
+				return err
+			}
+			defer a.Body.Close()
+			_, err = io.Copy(io.Discard, a.Body)
+			return err
+		})
+	}
+	return out
+}
+
+func throughCallers(b *testing.B, s *Site, n int) (out []func(context.Context) error) {
+	for range n {
+		f, err := openFlow(b.Context(), s, newRecorder(), 0)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(f.close)
+		out = append(out, func(ctx context.Context) error {
+			r, err := f.do(ctx, http.MethodGet, "/screen?caller=x", nil, "")
+			if err == nil && r.status != http.StatusOK {
+				err = fmt.Errorf("status %d", r.status)
+			}
+			return err
+		})
+	}
+	return out
+}
+
+// BenchmarkSlots has more callers than slots and shows the share of slots that
+// upstreams work on, as the upstreams count it.
+func BenchmarkSlots(b *testing.B) {
+	const upstreams, slots = 6, 5
+	s := benchSite(b, ServiceSize{Name: "web", Upstreams: upstreams, Slots: slots, Connections: 2000})
+	var before uint64
+	served := func() (n uint64) {
+		for _, u := range s.Units() {
+			n += u.Served.Load()
+		}
+		return n
+	}
+	ask := throughCallers(b, s, 2*upstreams*slots)
+	const turn = 5 * time.Second
+	var done atomic.Uint64
+	for b.Loop() {
+		before = served()
+		work(b, turn, ask)
+		done.Add(served() - before)
+	}
+	busy := float64(done.Load()) * upstreamWork.Seconds()
+	b.ReportMetric(busy/(turn.Seconds()*float64(b.N)*upstreams*slots), "busy")
+}
+
+// BenchmarkUpload sends 1 GiB through an agent and shows the most heap that the
+// program had, callers, balancers and upstream included, over that before it.
+func BenchmarkUpload(b *testing.B) {
+	s := benchSite(b, ServiceSize{Name: "web", Upstreams: 1, Slots: 4, Connections: 100})
+	f, err := openFlow(b.Context(), s, newRecorder(), 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.close()
+	const size = 1 << 30
+	b.SetBytes(size)
+	var base, most uint64
+	for b.Loop() {
+		runtime.GC()
+		base = heap()
+		ctx, stop := context.WithCancel(b.Context())
+		go func() {
+			for peer.Sleep(ctx, 10*time.Millisecond) {
+				most = max(most, heap())
+			}
+		}()
+		upload(b, f, size)
+		stop()
+	}
+	b.ReportMetric(float64(base)/(1<<20), "base-MiB")
+	b.ReportMetric(float64(most)/(1<<20), "most-MiB")
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse
+}
+
+func upload(b *testing.B, f *flow, size int) {
+	b.Helper()
+	a := post(b.Context(), b, f, "/upload?caller=x", size)
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		b.Fatalf("status %d", a.StatusCode)
+	}
+	io.Copy(io.Discard, a.Body)
+}
--- a/demo/unit.go
+++ b/demo/unit.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -22,7 +23,7 @@
 	u := &unit{
 		Upstream: &standin.Upstream{
 			Service: string(d.Name), Name: h.String(), Zone: string(s.Deployment.Zones[z-1]),
-			Slots: d.Slots, ColdSlots: coldSlots, ColdAnswers: coldAnswers, Work: upstreamWork, Ledger: s.Ledger,
+			Slots: d.Slots, ColdSlots: coldSlots, ColdAnswers: coldAnswers, Work: cmp.Or(d.Work, upstreamWork), Ledger: s.Ledger,
 		},
 		service: i, zone: z, done: make(chan struct{}),
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -109,23 +109,29 @@
 // one whose removal failed must go with the next.
 func TestHistoryKeepsTheLatestVersions(t *testing.T) {
 	b := newBench(t)
-	first := b.accept(t, text)
 	// The line is long already; only its end is made here.
 	at := bundle.Version(historyKept + 10)
-	for v := first.Version; v < at; v++ {
-		if _, err := b.desk.Store.Create(t.Context(), platform.KindHistory, historyName(v), first.Signed); err != nil {
+	last, err := bundle.Sign([]byte(text), bundle.Stamp{Version: at}, b.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for v := bundle.Version(1); v < at; v++ {
+		if _, err := b.desk.Store.Create(t.Context(), platform.KindHistory, historyName(v), last); err != nil {
 			t.Fatal(err)
 		}
 	}
+	if _, err := b.desk.Store.Create(t.Context(), platform.KindBundle, currentName, last); err != nil {
+		t.Fatal(err)
+	}
 	kept := func(v bundle.Version) bool {
 		_, err := b.desk.Store.Get(t.Context(), platform.KindHistory, historyName(v))
 		return err == nil
 	}
-	b.desk.prune(t.Context(), at)
+	b.accept(t, "# One more.\n"+text)
 	b.store.Set(standin.Faults{Outage: true})
-	b.desk.prune(t.Context(), at+1)
-	b.store.Set(standin.Faults{})
 	b.desk.prune(t.Context(), at+2)
+	b.store.Set(standin.Faults{})
+	b.accept(t, "# Two more.\n"+text)
 	for v, want := range map[bundle.Version]bool{at - 1: true, at + 2 - historyKept: true, at + 1 - historyKept: false, at - historyKept: false, at - 1 - historyKept: false} {
 		if kept(v) != want {
 			t.Errorf("version %d of %d: kept %t", v, at+2, kept(v))
