Let upstreams speak HTTP/2 without TLS

The tests of matching, of orders not repeated and of requests certain not to have run go over both protocols; the demo's letters and schedules use h2c. The health end point is asked over the same client.

--- a/agent/leave.go
+++ b/agent/leave.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -21,7 +20,6 @@
 	// keyPoll is how often the end of the journal's duty is looked at.
 	keyPoll     = 200 * time.Millisecond
 	healthEvery = time.Second
-	maxHealth   = 4 << 10
 	// unguarded is how long an agent without its drain goes on before it drops
 	// everything, in a trial of the report.
 	unguarded = 5 * time.Second
@@ -85,19 +83,11 @@
 		<-ctx.Done()
 		return nil
 	}
-	c := &http.Client{Timeout: healthEvery}
 	for peer.Sleep(ctx, healthEvery) {
-		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.opts.Upstream.String()+a.opts.Health, nil)
-		if err != nil {
-			return err
-		}
-		drains := false
-		if x, err := c.Do(r); err == nil {
-			io.Copy(io.Discard, io.LimitReader(x.Body, maxHealth)) // so that the connection is kept
-			x.Body.Close()
-			drains = x.StatusCode == http.StatusServiceUnavailable
-		}
-		a.setDrains(drains)
+		limit, stop := context.WithTimeout(ctx, healthEvery)
+		n, err := a.disp.client.Health(limit, a.opts.Health)
+		stop()
+		a.setDrains(err == nil && n == http.StatusServiceUnavailable)
 	}
 	return nil
 }
--- a/agent/options.go
+++ b/agent/options.go
@@ -10,17 +10,19 @@
 
 	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/process"
+	"pomeloway.example/pomeloway/upstream"
 )
 
 // Options are the settings of an agent.
 type Options struct {
 	process.Options `embed:""`
-	Service         bundle.ServiceID `help:"Number of the service that the upstream belongs to." required:"" env:"POMELOWAY_SERVICE" group:"Place"`
-	Upstream        netip.AddrPort   `help:"Address of the upstream's HTTP port." required:"" env:"POMELOWAY_UPSTREAM" placeholder:"IP:PORT" group:"Addresses"`
-	Health          string           `help:"Path of the upstream that answers 503 while it drains." env:"POMELOWAY_HEALTH" placeholder:"PATH" group:"Work"`
-	Certificate     string           `help:"PEM file of the certificate chain for callers." type:"path" env:"POMELOWAY_CERTIFICATE" placeholder:"FILE" group:"Keys"`
-	CertificateKey  string           `help:"PEM file of the certificate's key." type:"path" env:"POMELOWAY_CERTIFICATE_KEY" placeholder:"FILE" group:"Keys"`
-	Drain           time.Duration    `help:"Longest wait for running requests at a graceful stop." default:"4h" env:"POMELOWAY_DRAIN" group:"Work"`
+	Service         bundle.ServiceID  `help:"Number of the service that the upstream belongs to." required:"" env:"POMELOWAY_SERVICE" group:"Place"`
+	Upstream        netip.AddrPort    `help:"Address of the upstream's HTTP port." required:"" env:"POMELOWAY_UPSTREAM" placeholder:"IP:PORT" group:"Addresses"`
+	Protocol        upstream.Protocol `help:"What the upstream speaks: ${enum}. With h2c, HTTP/2 without TLS, all feeds share some connections and take less memory." name:"upstream-protocol" enum:"http/1.1,h2c" default:"http/1.1" env:"POMELOWAY_UPSTREAM_PROTOCOL" group:"Addresses"`
+	Health          string            `help:"Path of the upstream that answers 503 while it drains." env:"POMELOWAY_HEALTH" placeholder:"PATH" group:"Work"`
+	Certificate     string            `help:"PEM file of the certificate chain for callers." type:"path" env:"POMELOWAY_CERTIFICATE" placeholder:"FILE" group:"Keys"`
+	CertificateKey  string            `help:"PEM file of the certificate's key." type:"path" env:"POMELOWAY_CERTIFICATE_KEY" placeholder:"FILE" group:"Keys"`
+	Drain           time.Duration     `help:"Longest wait for running requests at a graceful stop." default:"4h" env:"POMELOWAY_DRAIN" group:"Work"`
 
 	// TLS takes the place of the certificate files in trials.
 	TLS *tls.Config `kong:"-"`
--- a/capacity/fleets.go
+++ b/capacity/fleets.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomeloway.example/pomeloway/demo"
+	"pomeloway.example/pomeloway/upstream"
 )
 
 // FleetSize is a fleet to measure.
@@ -34,7 +35,7 @@
 		n := float64(z.Balancers + z.Upstreams)
 		fmt.Fprintf(progress, "a fleet of %d balancers and %d agents\n", z.Balancers, z.Upstreams)
 		before := heapNow()
-		f, err := startFleet(ctx, z)
+		f, err := startFleet(ctx, z, upstream.ProtocolHTTP1)
 		if err != nil {
 			return nil, err
 		}
@@ -68,10 +69,10 @@
 // startLimit bounds the start of a large fleet.
 const startLimit = 90 * time.Second
 
-func startFleet(ctx context.Context, z FleetSize) (*demo.Fleet, error) {
+func startFleet(ctx context.Context, z FleetSize, p upstream.Protocol) (*demo.Fleet, error) {
 	ctx, stop := context.WithTimeout(ctx, startLimit)
 	defer stop()
-	return demo.StartFleet(ctx, z.Balancers, z.Upstreams, fleetZones)
+	return demo.StartFleet(ctx, z.Balancers, z.Upstreams, fleetZones, p)
 }
 
 // changes accepts bundles and returns the median time to be in force and the
@@ -92,17 +93,18 @@
 	return median(took), max(0, extra) / changesMeasured, nil
 }
 
-// Flows measures what a held feed costs, the caller's end of it included, since
-// both are in this process.
-func Flows(ctx context.Context, sizes []int, hold time.Duration, progress io.Writer) ([]Slope, error) {
-	f, err := startFleet(ctx, FleetSize{2, 6})
+// Flows measures what a held feed costs with upstreams that speak the protocol,
+// the caller's and the upstream's end of it included, since all are in this
+// process.
+func Flows(ctx context.Context, p upstream.Protocol, sizes []int, hold time.Duration, progress io.Writer) ([]Slope, error) {
+	f, err := startFleet(ctx, FleetSize{2, 6}, p)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
 	var heap, cpu, net []Point
 	for _, n := range sizes {
-		fmt.Fprintf(progress, "%d flows that hold a feed\n", n)
+		fmt.Fprintf(progress, "%d flows that hold a feed, upstreams speak %s\n", n, p)
 		end, err := f.Hold(ctx, n)
 		if err != nil {
 			return nil, err
@@ -117,8 +119,8 @@
 		time.Sleep(quiet)
 	}
 	return []Slope{
-		NewSlope("memory, both ends of a feed", "flow", "B", heap),
-		NewSlope("processor, quiet feeds", "flow", "cores", cpu),
-		NewSlope("traffic, quiet feeds", "flow", "B/s", net),
+		NewSlope("memory, both ends of a feed, "+string(p), "flow", "B", heap),
+		NewSlope("processor, quiet feeds, "+string(p), "flow", "cores", cpu),
+		NewSlope("traffic, quiet feeds, "+string(p), "flow", "B/s", net),
 	}, nil
 }
--- a/capacity/run.go
+++ b/capacity/run.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"pomeloway.example/pomeloway/process"
+	"pomeloway.example/pomeloway/upstream"
 )
 
 // Options are the settings of a measurement.
@@ -41,7 +42,8 @@
 	for _, f := range []func() ([]Slope, error){
 		func() ([]Slope, error) { return Bundles([]int{109, 218, 435, Addresses}) },
 		func() ([]Slope, error) { return Views([]int{350, 700, 1400, Nodes + Upstreams}, Addresses) },
-		func() ([]Slope, error) { return Flows(ctx, flows, o.Hold, progress) },
+		func() ([]Slope, error) { return Flows(ctx, upstream.ProtocolHTTP1, flows, o.Hold, progress) },
+		func() ([]Slope, error) { return Flows(ctx, upstream.ProtocolH2C, flows, o.Hold, progress) },
 		func() ([]Slope, error) { return Fleets(ctx, fleets, o.Hold, progress) },
 	} {
 		ss, err := f()
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -43,7 +43,7 @@
 		return eris.Wrap(err, "--listen")
 	}
 	fmt.Fprintf(s.errs, "stand-in for the %s serves on %s\n", name, l.Addr())
-	v := &http.Server{Handler: h}
+	v := standin.NewServer(h)
 	ctx, stop := signalContext(context.Background())
 	defer stop()
 	var g run.Group
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -12,6 +12,7 @@
 
 	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/keyring"
+	"pomeloway.example/pomeloway/upstream"
 )
 
 // Deployment is one user's site of today.
@@ -29,6 +30,8 @@
 	Upstreams, Slots, Connections int
 	// Upload says that callers upload to it; else they hold feeds and order.
 	Upload bool
+	// Protocol is what its upstreams are spoken to by; empty means HTTP/1.1.
+	Protocol upstream.Protocol
 	// Work is how long a warm upstream works on a request; zero means
 	// upstreamWork.
 	Work time.Duration
@@ -39,7 +42,7 @@
 	"agency": {
 		Name: "agency", Zones: []bundle.Name{"dar-1", "dar-2", "dar-3"}, Balancers: 3,
 		Services: []ServiceSize{
-			{Name: "letters", Upstreams: 7, Slots: 5, Connections: 2000},
+			{Name: "letters", Upstreams: 7, Slots: 5, Connections: 2000, Protocol: upstream.ProtocolH2C},
 			{Name: "scans", Upstreams: 3, Slots: 5, Connections: 2000, Upload: true},
 		},
 	},
@@ -47,7 +50,7 @@
 		Name: "saltbush", Zones: []bundle.Name{"perth-1", "perth-2", "perth-3", "perth-4"}, Balancers: 4,
 		Services: []ServiceSize{
 			{Name: "ordering", Upstreams: 7, Slots: 6, Connections: 2000},
-			{Name: "schedules", Upstreams: 4, Slots: 6, Connections: 2000, Upload: true},
+			{Name: "schedules", Upstreams: 4, Slots: 6, Connections: 2000, Upload: true, Protocol: upstream.ProtocolH2C},
 		},
 	},
 }
--- a/demo/measure.go
+++ b/demo/measure.go
@@ -8,6 +8,7 @@
 
 	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/upstream"
 )
 
 // Fleet is a running site for measurements: balancers and agents without
@@ -15,9 +16,9 @@
 type Fleet struct{ s *Site }
 
 // StartFleet starts a site with so many balancers and upstreams of one service,
-// spread over the zones.
-func StartFleet(ctx context.Context, balancers, upstreams, zones int) (*Fleet, error) {
-	d := Deployment{Name: "fleet", Balancers: balancers, Services: []ServiceSize{{Name: "web", Upstreams: upstreams, Slots: 6, Connections: 8000}}}
+// spread over the zones, that are spoken to by the protocol.
+func StartFleet(ctx context.Context, balancers, upstreams, zones int, p upstream.Protocol) (*Fleet, error) {
+	d := Deployment{Name: "fleet", Balancers: balancers, Services: []ServiceSize{{Name: "web", Upstreams: upstreams, Slots: 6, Connections: 8000, Protocol: p}}}
 	for z := range zones {
 		d.Zones = append(d.Zones, bundle.Name(fmt.Sprintf("zone-%d", z+1)))
 	}
--- a/demo/unit.go
+++ b/demo/unit.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -31,11 +30,11 @@
 	if err != nil {
 		return nil, err
 	}
-	u.server = &http.Server{Handler: u.Handler()}
+	u.server = standin.NewServer(u.Handler())
 	s.wait.Go(func() { u.server.Serve(l) })
 	u.opts = agent.Options{
 		Options: s.options(h, z), Service: bundle.ServiceID(i + 1), Health: s.health,
-		Upstream: l.Addr().(*net.TCPAddr).AddrPort(), TLS: s.serve, Drain: time.Hour,
+		Upstream: l.Addr().(*net.TCPAddr).AddrPort(), Protocol: d.Protocol, TLS: s.serve, Drain: time.Hour,
 	}
 	return u, s.startAgent(u)
 }
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -173,6 +173,17 @@
 	}
 }
 
+// streamsMost is how many requests one connection over HTTP/2 may carry.
+const streamsMost = 1000
+
+// NewServer returns a server that speaks HTTP/1.1 and HTTP/2, both without TLS.
+func NewServer(h http.Handler) *http.Server {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: p, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: streamsMost}}
+}
+
 // Handler returns the upstream's HTTP interface.
 func (u *Upstream) Handler() http.Handler {
 	m := http.NewServeMux()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -55,17 +55,54 @@
 	waiting map[RequestID]chan *http.Response
 }
 
+// Protocol is what an upstream speaks.
+type Protocol string
+
+// Protocols of upstreams. Over HTTP/1.1 each open feed takes a connection; over
+// HTTP/2 without TLS (prior knowledge, RFC 9113, 3.3) all share some.
+const (
+	ProtocolHTTP1 Protocol = "http/1.1"
+	ProtocolH2C   Protocol = "h2c"
+)
+
+// streamBuffer is what the upstream may send of one answer before its caller has
+// taken it, in bytes. The buffer of a whole connection is left as large as the
+// library makes it.
+//
+// A caller that reads nothing fills its stream's share of the connection. Were
+// the connection's buffer a few times the stream's, a few such callers would
+// stop the feeds of all others; it shows as boards that stand still.
+const streamBuffer = 64 << 10
+
+// Pings find an upstream that fell silent on a connection that many feeds share.
+const (
+	pingAfter = 5 * time.Second
+	pingWait  = 5 * time.Second
+)
+
+// set makes the transport speak the protocol.
+func (p Protocol) set(t *http.Transport) {
+	if p != ProtocolH2C {
+		return
+	}
+	t.Protocols = &http.Protocols{}
+	t.Protocols.SetUnencryptedHTTP2(true)
+	t.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerStream: streamBuffer, SendPingTimeout: pingAfter, PingTimeout: pingWait}
+}
+
 // NewClient returns a client of the upstream at the address.
-func NewClient(a netip.AddrPort) *Client {
+func NewClient(a netip.AddrPort, p Protocol) *Client {
 	d := net.Dialer{Timeout: dialTimeout}
-	return NewClientOver(a, &http.Transport{
+	t := &http.Transport{
 		DialContext:            d.DialContext,
 		MaxIdleConnsPerHost:    idleMost,
 		IdleConnTimeout:        idleFor,
 		MaxResponseHeaderBytes: headerMost,
 		ExpectContinueTimeout:  expectTimeout,
 		DisableCompression:     true,
-	})
+	}
+	p.set(t)
+	return NewClientOver(a, t)
 }
 
 // NewClientOver returns a client that reaches the upstream by the transport,
@@ -81,6 +118,24 @@
 	}
 }
 
+// maxHealth bounds what is read of a health end point's answer, in bytes.
+const maxHealth = 4 << 10
+
+// Health returns the status that the upstream answers at the path.
+func (c *Client) Health(ctx context.Context, path string) (int, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address.String()+path, nil)
+	if err != nil {
+		return 0, eris.Wrap(err, "health")
+	}
+	a, err := c.tr.RoundTrip(r)
+	if err != nil {
+		return 0, eris.Wrap(err, "health")
+	}
+	defer a.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(a.Body, maxHealth)) // so that the connection is kept
+	return a.StatusCode, nil
+}
+
 // idempotencyHeaders make net/http's transport repeat any request, a POST too,
 // when a kept connection fails.
 var idempotencyHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/standin"
 )
 
 func limits(slots int) bundle.Limits {
@@ -186,14 +187,23 @@
 	})
 }
 
-func serveUpstream(t *testing.T, h http.HandlerFunc) *Client {
+func serveUpstream(t *testing.T, p Protocol, h http.HandlerFunc) *Client {
 	t.Helper()
-	s := httptest.NewServer(h)
-	c := NewClient(netip.MustParseAddrPort(s.Listener.Addr().String()))
+	s := httptest.NewUnstartedServer(h)
+	s.Config = standin.NewServer(h)
+	s.Start()
+	c := NewClient(netip.MustParseAddrPort(s.Listener.Addr().String()), p)
 	t.Cleanup(func() { c.Close(); s.Close() })
 	return c
 }
 
+// overBoth runs the test over each protocol that upstreams may speak.
+func overBoth(t *testing.T, f func(*testing.T, Protocol)) {
+	for _, p := range []Protocol{ProtocolHTTP1, ProtocolH2C} {
+		t.Run(string(p), func(t *testing.T) { f(t, p) })
+	}
+}
+
 func newRequest(t *testing.T, method, path, body string) *http.Request {
 	r, err := http.NewRequestWithContext(t.Context(), method, "http://x"+path, strings.NewReader(body))
 	if err != nil {
@@ -202,108 +212,145 @@
 	return r
 }
 
-// An order carries an idempotency key. The upstream reads it, runs it and drops
-// the connection without an answer. net/http's transport takes the key's header
-// as leave to send the order again by itself: the horse feed is delivered twice.
-func TestOrderIsNotSentAgainByTheTransport(t *testing.T) {
-	var runs atomic.Int32
-	c := serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPost {
-			runs.Add(1)
-			panic(http.ErrAbortHandler)
+// Two hundred callers on one shared connection read nothing of their long
+// answers: screens of people who walked away. A feed beside them must go on.
+func TestCallersThatReadNothingStopNobody(t *testing.T) {
+	c := serveUpstream(t, ProtocolH2C, func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			if _, err := w.Write(make([]byte, 32<<10)); err != nil {
+				return
+			}
 		}
 	})
-	a, err := c.Do(newRequest(t, http.MethodGet, "/", ""), "warm-up")
+	ctx, stop := context.WithTimeout(t.Context(), 20*time.Second)
+	defer stop()
+	for i := range 200 {
+		a, err := c.Do(newRequest(t, http.MethodGet, "/", "").WithContext(ctx), RequestID(fmt.Sprint("deaf-", i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { a.Body.Close() })
+	}
+	a, err := c.Do(newRequest(t, http.MethodGet, "/", "").WithContext(ctx), "reader")
 	if err != nil {
 		t.Fatal(err)
 	}
-	io.Copy(io.Discard, a.Body)
-	a.Body.Close() // the connection is kept, and used for the order
-	r := newRequest(t, http.MethodPost, "/order", "")
-	r.Body = http.NoBody
-	r.Header.Set("Idempotency-Key", "k")
-	if _, err := c.Do(r, "order"); err == nil || errors.Is(err, ErrNotRun) {
-		t.Errorf("err = %v; the outcome is unknown", err)
-	}
-	if runs.Load() != 1 {
-		t.Errorf("the order was run %d times", runs.Load())
+	defer a.Body.Close()
+	if n, err := io.CopyN(io.Discard, a.Body, 8<<20); err != nil {
+		t.Errorf("the reader got %d bytes: %v", n, err)
 	}
 }
 
+// An order carries an idempotency key. The upstream reads it, runs it and drops
+// the connection without an answer. net/http's transport takes the key's header
+// as leave to send the order again by itself: the horse feed is delivered twice.
+func TestOrderIsNotSentAgainByTheTransport(t *testing.T) {
+	overBoth(t, func(t *testing.T, p Protocol) {
+		var runs atomic.Int32
+		c := serveUpstream(t, p, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				runs.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+		})
+		a, err := c.Do(newRequest(t, http.MethodGet, "/", ""), "warm-up")
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, a.Body)
+		a.Body.Close() // the connection is kept, and used for the order
+		r := newRequest(t, http.MethodPost, "/order", "")
+		r.Body = http.NoBody
+		r.Header.Set("Idempotency-Key", "k")
+		if _, err := c.Do(r, "order"); err == nil || errors.Is(err, ErrNotRun) {
+			t.Errorf("err = %v; the outcome is unknown", err)
+		}
+		if runs.Load() != 1 {
+			t.Errorf("the order was run %d times", runs.Load())
+		}
+	})
+}
+
 // The upstream's process is gone. The request never left, so the caller may be
 // told "not run", and the request may be sent to another upstream.
 func TestRefusedConnectionProvesNotRun(t *testing.T) {
-	s := httptest.NewServer(nil)
-	a := netip.MustParseAddrPort(s.Listener.Addr().String())
-	s.Close()
-	c := NewClient(a)
-	defer c.Close()
-	if _, err := c.Do(newRequest(t, http.MethodPost, "/order", "x"), "1"); !errors.Is(err, ErrNotRun) {
-		t.Errorf("err = %v, want not run", err)
-	}
+	overBoth(t, func(t *testing.T, p Protocol) {
+		s := httptest.NewServer(nil)
+		a := netip.MustParseAddrPort(s.Listener.Addr().String())
+		s.Close()
+		c := NewClient(a, p)
+		defer c.Close()
+		if _, err := c.Do(newRequest(t, http.MethodPost, "/order", "x"), "1"); !errors.Is(err, ErrNotRun) {
+			t.Errorf("err = %v, want not run", err)
+		}
+	})
 }
 
 // The upstream mixes up two answers: each comes on the other's connection. One
 // pupil's teacher would read another class's letters.
 func TestCrossedAnswersReachTheirOwnRequests(t *testing.T) {
-	type held struct {
-		id   string
-		path string
-	}
-	first := make(chan held, 1)
-	second := make(chan held)
-	c := serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
-		me := held{r.Header.Get(HeaderRequest), r.URL.Path}
-		var o held
-		select {
-		case first <- me:
-			o = <-second
-		case o = <-first:
-			second <- me
+	overBoth(t, func(t *testing.T, p Protocol) {
+		type held struct {
+			id   string
+			path string
 		}
-		w.Header().Set(HeaderRequest, o.id)
-		fmt.Fprint(w, o.path)
-	})
-	c.CheckID.Store(true)
-	var w sync.WaitGroup
-	for i := range 2 {
-		w.Go(func() {
-			path := fmt.Sprintf("/class-%d", i)
-			a, err := c.Do(newRequest(t, http.MethodGet, path, ""), RequestID(path))
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer a.Body.Close()
-			if b, _ := io.ReadAll(a.Body); string(b) != path {
-				t.Errorf("%s got the answer of %s", path, b)
+		first := make(chan held, 1)
+		second := make(chan held)
+		c := serveUpstream(t, p, func(w http.ResponseWriter, r *http.Request) {
+			me := held{r.Header.Get(HeaderRequest), r.URL.Path}
+			var o held
+			select {
+			case first <- me:
+				o = <-second
+			case o = <-first:
+				second <- me
 			}
+			w.Header().Set(HeaderRequest, o.id)
+			fmt.Fprint(w, o.path)
 		})
-	}
-	w.Wait()
-	if c.Crossed.Load() != 2 {
-		t.Errorf("crossed answers handed over: %d", c.Crossed.Load())
-	}
+		c.CheckID.Store(true)
+		var w sync.WaitGroup
+		for i := range 2 {
+			w.Go(func() {
+				path := fmt.Sprintf("/class-%d", i)
+				a, err := c.Do(newRequest(t, http.MethodGet, path, ""), RequestID(path))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer a.Body.Close()
+				if b, _ := io.ReadAll(a.Body); string(b) != path {
+					t.Errorf("%s got the answer of %s", path, b)
+				}
+			})
+		}
+		w.Wait()
+		if c.Crossed.Load() != 2 {
+			t.Errorf("crossed answers handed over: %d", c.Crossed.Load())
+		}
+	})
 }
 
 // An answer carries the id of a request of the upstream's earlier life. Nobody
 // waits for it: it must be dropped, not given to the caller at hand.
 func TestAnswerToNobodyIsDropped(t *testing.T) {
-	c := serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(HeaderRequest, "an-earlier-life-17")
-		fmt.Fprint(w, "somebody else's letter")
+	overBoth(t, func(t *testing.T, p Protocol) {
+		c := serveUpstream(t, p, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderRequest, "an-earlier-life-17")
+			fmt.Fprint(w, "somebody else's letter")
+		})
+		c.CheckID.Store(true)
+		ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer stop()
+		a, err := c.Do(newRequest(t, http.MethodGet, "/", "").WithContext(ctx), "mine")
+		if err == nil {
+			a.Body.Close()
+			t.Fatal("a foreign answer was delivered")
+		}
+		if c.Dropped.Load() != 1 {
+			t.Errorf("dropped %d answers", c.Dropped.Load())
+		}
 	})
-	c.CheckID.Store(true)
-	ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer stop()
-	a, err := c.Do(newRequest(t, http.MethodGet, "/", "").WithContext(ctx), "mine")
-	if err == nil {
-		a.Body.Close()
-		t.Fatal("a foreign answer was delivered")
-	}
-	if c.Dropped.Load() != 1 {
-		t.Errorf("dropped %d answers", c.Dropped.Load())
-	}
 }
 
 func TestStreamPassesEachReadOn(t *testing.T) {
