Let callers of the churn's scenario share ports

Cause: with 10,000 callers the scenario ran out of files: a port for each and one of the fabric's (1.6 million failed openings, 'too many open files'), and it could not tell whether flows open. Four callers share a port now, as people behind one address do, and a caller that fails to open tries again from the same port.

Shared ports show what single ones hid: some ports can't open at all for many seconds.

--- a/demo/callers.go
+++ b/demo/callers.go
@@ -43,6 +43,8 @@
 	name    string
 	service int
 	n       int
+	// shared is a port that it shares with other callers; nil means its own.
+	shared *quic.Transport
 }
 
 // runCallers runs callers until the context ends; each ends what it began.
@@ -74,7 +76,7 @@
 // open opens a flow, trying again until the context ends.
 func (c *caller) open(ctx context.Context) *flow {
 	for ctx.Err() == nil {
-		f, err := openFlow(ctx, c.s, c.rec, c.service)
+		f, err := c.openOnce(ctx)
 		if err == nil {
 			return f
 		}
@@ -87,6 +89,13 @@
 	return nil
 }
 
+func (c *caller) openOnce(ctx context.Context) (*flow, error) {
+	if c.shared != nil {
+		return openShared(ctx, c.s, c.rec, c.service, c.shared)
+	}
+	return openFlow(ctx, c.s, c.rec, c.service)
+}
+
 func (c *caller) openFailed(err error) {
 	var app *quic.ApplicationError
 	if errors.As(err, &app) {
--- a/demo/flow.go
+++ b/demo/flow.go
@@ -39,6 +39,7 @@
 	conn    *quic.Conn
 	h3      *http3.ClientConn
 	tr      *quic.Transport
+	// socket is the flow's own; nil if it shares a transport with others.
 	socket  *net.UDPConn
 	zone    atomic.Int32
 	at      atomic.Pointer[string]
@@ -47,15 +48,26 @@
 	moved []func()
 }
 
-// openFlow opens a flow, or tells why not.
+// openFlow opens a flow from a port of its own, or tells why not.
 func openFlow(ctx context.Context, s *Site, rec *recorder, service int) (*flow, error) {
 	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, err
 	}
-	f := &flow{s: s, rec: rec, service: service, socket: c, tr: &quic.Transport{Conn: c}}
+	return (&flow{s: s, rec: rec, service: service, socket: c, tr: &quic.Transport{Conn: c}}).open(ctx)
+}
+
+// openShared opens a flow from a port that it shares with others, as people
+// behind one address do.
+func openShared(ctx context.Context, s *Site, rec *recorder, service int, tr *quic.Transport) (*flow, error) {
+	return (&flow{s: s, rec: rec, service: service, tr: tr}).open(ctx)
+}
+
+func (f *flow) open(ctx context.Context) (*flow, error) {
+	s, rec, service := f.s, f.rec, f.service
 	ctx, stop := context.WithTimeout(ctx, openTimeout)
 	defer stop()
+	var err error
 	f.conn, err = f.tr.Dial(ctx, net.UDPAddrFromAddrPort(s.ServiceAddress(service)), s.callers, &quic.Config{
 		MaxIdleTimeout: callerIdle, KeepAlivePeriod: callerKeepAlive, HandshakeIdleTimeout: openTimeout,
 	})
@@ -102,8 +114,10 @@
 	if p := f.at.Load(); p != nil {
 		f.rec.flow(f.name(), *p, -1)
 	}
-	f.tr.Close()
-	f.socket.Close()
+	if f.socket != nil {
+		f.tr.Close()
+		f.socket.Close()
+	}
 	for _, c := range f.moved {
 		c()
 	}
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"os"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"go.uber.org/goleak"
 
 	"pomeloway.example/pomeloway/bundle"
@@ -64,9 +66,10 @@
 // holdFeeds opens feeds that all end after the lines, and waits for them.
 func holdFeeds(t *testing.T, s *Site, rec *recorder, count, lines int, every time.Duration) {
 	var w sync.WaitGroup
+	ports := sharedPorts(t, (count+sharePort-1)/sharePort)
 	for i := range count {
 		w.Go(func() {
-			c := &caller{s: s, rec: rec, rand: rand.New(rand.NewPCG(1, uint64(i))), name: fmt.Sprintf("feed-%d", i)}
+			c := &caller{s: s, rec: rec, rand: rand.New(rand.NewPCG(1, uint64(i))), name: fmt.Sprintf("feed-%d", i), shared: ports[i%len(ports)]}
 			f := c.open(t.Context())
 			if f == nil {
 				return
@@ -79,6 +82,25 @@
 	w.Wait()
 }
 
+// sharePort is how many callers share a port: ten thousand with one each, and as
+// many of the fabric's, are more files than a process may open.
+const sharePort = 4
+
+func sharedPorts(t *testing.T, count int) []*quic.Transport {
+	t.Helper()
+	var out []*quic.Transport
+	for range count {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr := &quic.Transport{Conn: c}
+		t.Cleanup(func() { tr.Close(); c.Close() })
+		out = append(out, tr)
+	}
+	return out
+}
+
 // openEvery spreads openings as people come to their screens.
 const openEvery = time.Millisecond
 
