Spread callers' answers over balancers by rendezvous

With views not held back and ports shared, some ports never opened: of 1,000 callers 138 were not done after 24 s. The agents' lists of living balancers were [the one just killed, then the living], each second anew: a dead one is held for alive for 1.5 s, and one dies each second. A caller's balancer was the remainder of its hash over that list, so a quarter of the ports had the dead one, at index 0, for as long as the replacements went on. Ruled out: the fabric's spraying to the dead (385 tries over 6 s without it), refusals (0), full agents.

Change: callers fall into 512 slots, and each slot has the living balancer that ranks highest for it. A balancer that goes moves its own callers only. Weighed: ranking at each datagram (400 hashes each), a table rebuilt at each change (taken).

In the new test a caller has a dead balancer for at most 6 s on end, 58 s before.

--- a/agent/conn_test.go
+++ b/agent/conn_test.go
@@ -245,3 +245,73 @@
 		}
 	})
 }
+
+// Operators replace the balancers one after another, the oldest first, a second
+// apart. A dead one is held for alive for another second and a half, so there is
+// always one in the list, at the same place. No caller may be given a dead one
+// for more than a few seconds on end: it could not open a flow meanwhile.
+func TestRollingReplacementStarvesNobody(t *testing.T) {
+	host := func(n int) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7001) }
+	var p paths
+	now := time.Now()
+	deaf := map[netip.AddrPort]int{}
+	longest := 0
+	for first := 1; first < 60; first++ { // first..first+2 live, first-1 has just died
+		for ms := 0; ms < 1000; ms += 250 {
+			for n := first; n < first+3; n++ {
+				p.beat(host(n), 1, now)
+			}
+			p.expire(now)
+			now = now.Add(250 * time.Millisecond)
+		}
+		for c := range 2000 {
+			caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(20000+c))
+			if via, ok := p.pick(caller); ok && via.Addr().Compare(host(first).Addr()) >= 0 {
+				deaf[caller] = 0
+				continue
+			}
+			deaf[caller]++
+			longest = max(longest, deaf[caller])
+		}
+	}
+	if longest > 8 {
+		t.Errorf("a caller's answers went to a dead balancer for %d s on end", longest)
+	}
+}
+
+// A balancer falls silent. Only the flows that went through it may move: a moved
+// flow's datagrams overtake one another, which costs it speed.
+func TestOneSilentBalancerMovesItsOwnFlowsOnly(t *testing.T) {
+	var p paths
+	now := time.Now()
+	gone := netip.MustParseAddrPort("10.0.0.3:7001")
+	for n := byte(1); n <= 5; n++ {
+		p.beat(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7001), 1, now)
+	}
+	pick := func(c int) netip.AddrPort {
+		a, _ := p.pick(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(20000+c)))
+		return a
+	}
+	before := map[int]netip.AddrPort{}
+	for c := range 1000 {
+		before[c] = pick(c)
+	}
+	for a := range p.heard {
+		if a != gone {
+			p.beat(a, 1, now.Add(time.Second))
+		}
+	}
+	p.expire(now.Add(pathDead + time.Millisecond))
+	moved := 0
+	for c, was := range before {
+		if is := pick(c); is != was || is == gone {
+			moved++
+			if was != gone {
+				t.Fatalf("a flow moved from %s to %s", was, is)
+			}
+		}
+	}
+	if moved < 100 || moved > 300 {
+		t.Errorf("%d of 1000 flows moved", moved)
+	}
+}
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -1,3 +1,11 @@
+// This file chooses the balancer that a flow's answers go through. Callers are
+// spread over a fixed number of slots and each slot has the living balancer that
+// ranks highest for it (rendezvous hashing). So a balancer that goes moves its own
+// callers only and spreads them over all others. A choice costs one look-up; a
+// change of the living, some hundred thousand hashes with 400 of them. Given up:
+// an even spread over many balancers by one agent, which the number of agents
+// makes up for.
+
 package agent
 
 import (
@@ -15,6 +23,9 @@
 // QUIC repeats, and no caller has to speak first.
 const pathDead = 1500 * time.Millisecond
 
+// pathSlots is how many groups of callers there are; each moves as one.
+const pathSlots = 512
+
 // paths are the balancers that an agent may send answers through.
 type paths struct {
 	mu    sync.Mutex
@@ -23,6 +34,8 @@
 	// live are those heard lately, in a fixed order; spare are the rest that
 	// the fleet's view names, for an agent nobody has spoken to yet.
 	live, spare []netip.AddrPort
+	// slots are the balancers by the caller's hash; all are valid or none.
+	slots [pathSlots]netip.AddrPort
 	// moved is told of each change of live.
 	moved func(live []netip.AddrPort)
 }
@@ -86,11 +99,41 @@
 	slices.SortFunc(live, netip.AddrPort.Compare)
 	changed := !slices.Equal(live, p.live)
 	p.live = live
+	if changed || len(live) == 0 {
+		p.assign()
+	}
 	if changed && p.moved != nil {
 		p.moved(live)
 	}
 }
 
+// assign gives each slot its balancer; p.mu is held.
+//
+// By the remainder of a hash over the list, every change would move nearly all
+// flows, and balancers that are replaced one after another in the list's order
+// would keep the dead one at the same place: the same callers hear nothing for as
+// long as that goes on. It shows as openings that never succeed from some ports.
+func (p *paths) assign() {
+	from := p.live
+	if len(from) == 0 {
+		from = p.spare
+	}
+	hashes := make([]uint64, len(from))
+	for i, a := range from {
+		b, _ := a.MarshalBinary() // has no error
+		hashes[i] = fleet.HashOf(b)
+	}
+	for slot := range p.slots {
+		best, score := netip.AddrPort{}, uint64(0)
+		for i, h := range hashes {
+			if x := fleet.Mix(uint64(slot), h); x >= score {
+				best, score = from[i], x
+			}
+		}
+		p.slots[slot] = best
+	}
+}
+
 // pick returns the balancer for the caller's answers. All datagrams of a flow
 // take one path while it lives, since reordering costs a flow its speed.
 func (p *paths) pick(caller netip.AddrPort) (netip.AddrPort, bool) {
@@ -98,12 +141,6 @@
 	k := uint64(b[0])<<40 | uint64(b[1])<<32 | uint64(b[2])<<24 | uint64(b[3])<<16 | uint64(caller.Port())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.live
-	if len(l) == 0 {
-		l = p.spare
-	}
-	if len(l) == 0 {
-		return netip.AddrPort{}, false
-	}
-	return l[fleet.Mix(k, 0)%uint64(len(l))], true
+	a := p.slots[fleet.Mix(k, 0)%pathSlots]
+	return a, a.IsValid()
 }
