--- a/agent/conn_test.go
+++ b/agent/conn_test.go
@@ -251,7 +251,9 @@
 // always one in the list, at the same place. No caller may be given a dead one
 // for more than a few seconds on end: it could not open a flow meanwhile.
 func TestRollingReplacementStarvesNobody(t *testing.T) {
-	host := func(n int) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7001) }
+	host := func(n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7001)
+	}
 	var p paths
 	now := time.Now()
 	deaf := map[netip.AddrPort]int{}
