Repeat requests that only read after an unknown outcome

Cause: when an upstream or a sibling died with a request, the caller got 'unknown' for a screen as for an order, though reading it once more harms nobody.

Change: GET, HEAD and OPTIONS go to another agent then, within the caller's time, the two passes and the budget of a tenth of fresh requests. PUT and DELETE do not, though idempotent by the letter. What can't be repeated is still 'unknown'.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -46,6 +46,17 @@
 	passes int
 }
 
+// safe reports whether the request may be sent again although it may have run:
+// its method only reads (RFC 9110, 9.2.1). PUT and DELETE are left out, though
+// idempotent by the letter, since back ends are seen that count them.
+func (j *job) safe() bool {
+	switch j.r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
 // answer is an upstream's answer that still has to be read.
 type answer struct {
 	*http.Response
@@ -181,16 +192,23 @@
 	}
 	d.release(sign)
 	d.running.Add(-1)
+	refused := refuseFull(err.Error())
 	if !errors.Is(err, upstream.ErrNotRun) && !d.guards.Has(guard.Retry) {
+		refused = refuseUnknown(err.Error())
 		if ctx.Err() != nil {
 			return nil, refuseTimeout("the upstream had not answered", OutcomeUnknown)
 		}
-		return nil, refuseUnknown(err.Error())
+		if !j.safe() {
+			return nil, refused
+		}
 	}
 	if j.passed || !d.retries.spend() {
-		return nil, refuseFull(err.Error())
+		return nil, refused
+	}
+	if a, err := d.pass(ctx, j); a != nil || !isNotRun(err) {
+		return a, err
 	}
-	return d.passOrRefuse(ctx, j, err.Error())
+	return nil, refused
 }
 
 // answered wires the end of the answer to the slot.
--- a/agent/handover.go
+++ b/agent/handover.go
@@ -31,7 +31,8 @@
 	passedHome = "home"
 )
 
-// pass offers the job to one more sibling.
+// pass offers the job to one more sibling, and to a second if the first was lost
+// with a request that only reads.
 func (d *dispatcher) pass(ctx context.Context, j *job) (*answer, error) {
 	if j.passes >= mostPasses {
 		return nil, refuseFull("no sibling has a free slot")
@@ -51,7 +52,14 @@
 	if a != nil {
 		d.siblings.hear(m.ID, a.Header)
 	}
-	return d.readPassed(a, err)
+	got, err := d.readPassed(a, err)
+	if got != nil || isNotRun(err) || !j.safe() || ctx.Err() != nil || !d.retries.spend() {
+		return got, err
+	}
+	if again, _ := d.pass(ctx, j); again != nil {
+		return again, nil
+	}
+	return nil, err
 }
 
 // large reports whether the job's body is too long to be sent a second time.
--- a/agent/history_test.go
+++ b/agent/history_test.go
@@ -439,3 +439,50 @@
 		}
 	})
 }
+
+// An upstream dies while a teacher's screen is read from it. Reading it again
+// elsewhere harms nobody, so the screen must come; an order, which may have run,
+// must not be sent again, and nothing may be when the retries are spent.
+func TestOnlyReadingIsRepeatedAfterAnUnknownOutcome(t *testing.T) {
+	for name, x := range map[string]struct {
+		method string
+		spent  bool
+		status int
+		tries  int
+	}{
+		"a screen":                      {http.MethodGet, false, http.StatusOK, 2},
+		"an order without a key":        {http.MethodPost, false, http.StatusBadGateway, 1},
+		"an update":                     {http.MethodPut, false, http.StatusBadGateway, 1},
+		"a screen, all retries spent":   {http.MethodGet, true, http.StatusBadGateway, 1},
+		"what an upstream may not know": {"PROPFIND", false, http.StatusBadGateway, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, guard.Off{})
+				w.calm = true
+				dies := &dyingUp{}
+				w.agents[0].client = upstream.NewClientOver(worldAddr(0), dies)
+				for range 200 {
+					w.agents[0].retries.earn()
+				}
+				for x.spent && w.agents[0].retries.spend() {
+				}
+				rec := httptest.NewRecorder()
+				w.agents[0].ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), x.method, "/screen", nil))
+				if tries := dies.asked + int(w.agents[1].counts.Placed.Load()+w.agents[2].counts.Placed.Load()); rec.Code != x.status || tries != x.tries {
+					t.Errorf("status %d after %d tries: %s", rec.Code, tries, rec.Body)
+				}
+			})
+		})
+	}
+}
+
+// dyingUp is the way to an upstream that dies with each request it has read.
+type dyingUp struct{ asked int }
+
+// RoundTrip reads the request and fails.
+func (u *dyingUp) RoundTrip(r *http.Request) (*http.Response, error) {
+	u.asked++
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	return nil, errWire
+}
