Limit the length of request bodies

Change: upstreams.body in the bundle, such as 64MB. A body that says to be longer is refused by 413 before anything runs; one of unknown length is cut when it gets there, and its outcome is unknown. Neither counts against the upstream, which would be held for cold (its own test, over both protocols).

Result: the four cases of the new test, 431 and a flow that goes on after it hold. Not built: 429 for one caller among many; its queue and turn are what there is.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -187,11 +187,16 @@
 // failed gives the slot back after the upstream gave no answer.
 func (d *dispatcher) failed(ctx context.Context, j *job, began time.Time, err error) (*answer, error) {
 	sign := upstream.Sign{Kind: upstream.SignBad, Began: began}
-	if ctx.Err() != nil {
-		sign.Kind = upstream.SignNone
+	var long *http.MaxBytesError
+	tooLarge := errors.As(err, &long)
+	if ctx.Err() != nil || tooLarge {
+		sign.Kind = upstream.SignNone // the caller's doing
 	}
 	d.release(sign)
 	d.running.Add(-1)
+	if tooLarge {
+		return nil, refuseTooLarge(OutcomeUnknown)
+	}
 	refused := refuseFull(err.Error())
 	if !errors.Is(err, upstream.ErrNotRun) && !d.guards.Has(guard.Retry) {
 		refused = refuseUnknown(err.Error())
--- a/agent/front.go
+++ b/agent/front.go
@@ -71,6 +71,10 @@
 		refuseFull("no bundle is in force yet").write(w)
 		return
 	}
+	if !bound(w, r, s.Upstreams.Body) {
+		refuseTooLarge(OutcomeNotRun).write(w)
+		return
+	}
 	f.retries.earn()
 	ctx, stop, ok := f.deadline(r, s.Holds(r.URL.Path))
 	defer stop()
@@ -96,6 +100,19 @@
 	f.finish(ctx, w, j, a, err)
 }
 
+// bound limits the request's body; it returns false if the body is known to be
+// too long. One of unknown length is cut when it gets there.
+func bound(w http.ResponseWriter, r *http.Request, most bundle.Size) bool {
+	if most == 0 {
+		return true
+	}
+	if r.ContentLength > int64(most) {
+		return false
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, int64(most))
+	return true
+}
+
 // finish writes the answer or the refusal.
 func (f *front) finish(ctx context.Context, w http.ResponseWriter, j *job, a *answer, err error) {
 	if err != nil {
--- a/agent/history_test.go
+++ b/agent/history_test.go
@@ -486,3 +486,44 @@
 	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
 	return nil, errWire
 }
+
+// A clerk picks a film in place of a scan. The service takes bodies of 64 kB: the
+// film must be refused with the reason, at once if its length is said, and its
+// upstream must not be held for broken because of it.
+func TestBodiesOverTheLimitAreRefused(t *testing.T) {
+	const most = 64 << 10
+	for name, x := range map[string]struct {
+		length  int
+		said    bool
+		status  int
+		outcome Outcome
+	}{
+		"as long as allowed, said":   {most, true, http.StatusOK, ""},
+		"as long as allowed, unsaid": {most, false, http.StatusOK, ""},
+		"longer, said":               {most + 1, true, http.StatusRequestEntityTooLarge, OutcomeNotRun},
+		"longer, unsaid":             {most + 1, false, http.StatusRequestEntityTooLarge, OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, guard.Off{})
+				w.calm = true
+				f := w.agents[0]
+				s := *f.service.Load()
+				s.Upstreams.Body = most
+				f.service.Store(&s)
+				r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/upload", strings.NewReader(strings.Repeat("x", x.length)))
+				if !x.said {
+					r.ContentLength = -1
+				}
+				rec := httptest.NewRecorder()
+				f.ServeHTTP(rec, r)
+				if rec.Code != x.status || Outcome(rec.Header().Get(HeaderOutcome)) != x.outcome {
+					t.Errorf("status %d, outcome %q: %.200s", rec.Code, rec.Header().Get(HeaderOutcome), rec.Body)
+				}
+				if l := f.gate.Load(); l.Slots != 3 || l.Running != 0 {
+					t.Errorf("the upstream is held for cold, or a slot is lost: %+v", l)
+				}
+			})
+		})
+	}
+}
--- a/agent/problem.go
+++ b/agent/problem.go
@@ -64,6 +64,12 @@
 	return &refusal{status, kind, "the idempotency key is not accepted", detail, OutcomeNotRun, 0}
 }
 
+// refuseTooLarge refuses a body over the service's limit; what was read of it may
+// have reached the upstream.
+func refuseTooLarge(o Outcome) *refusal {
+	return &refusal{http.StatusRequestEntityTooLarge, "too-large", "the request's body is longer than the service takes", "", o, 0}
+}
+
 // refuseTooLong refuses to repeat an answer that was not kept: the request ran,
 // so it must not seem that it did not.
 func refuseTooLong() *refusal {
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/c2h5oh/datasize"
 )
 
 // ServiceID identifies a service on the wire; zero is never valid.
@@ -78,6 +80,8 @@
 	Connections int       `yaml:"connections"`
 	Queue       int       `yaml:"queue,omitempty"`
 	ColdStart   ColdStart `yaml:"coldStart"`
+	// Body is the longest body of a request, such as 64MB; zero means any.
+	Body Size `yaml:"body,omitempty"`
 	// ShedStatus is the HTTP status by which an upstream says that it has not
 	// run a request; zero means that no status says so.
 	ShedStatus int `yaml:"shedStatus,omitempty"`
@@ -85,6 +89,19 @@
 	AnswersCarryID bool `yaml:"answersCarryID,omitempty"`
 }
 
+// Size is a length in bytes, written such as 64MB; MB is 1024 kB.
+type Size uint64
+
+// UnmarshalText reads a size.
+func (s *Size) UnmarshalText(b []byte) error {
+	var v datasize.ByteSize
+	if err := v.UnmarshalText(b); err != nil {
+		return fmt.Errorf("%q is not a size such as 64MB", b)
+	}
+	*s = Size(v)
+	return nil
+}
+
 // defaultQueueShare is the queue's length for each slot when none is given.
 const defaultQueueShare = 4
 
--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -34,7 +34,7 @@
 			"name: dar-2", "name: dar-1",
 			"currentKey: 1", "currentKey: 7").Replace(good),
 		"impossible limits": strings.Replace(good, "slots: 5, connections: 2000, coldStart: {slots: 1, answers: 5}",
-			"slots: -1, connections: many, coldStart: {slots: 9, answers: 0}", 1),
+			"slots: -1, connections: many, body: lots, coldStart: {slots: 9, answers: 0}", 1),
 		"overlapping addresses": strings.Replace(good, "zones:\n", `  - id: 1
     name: scans
     address: 192.0.2.1:443
--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -511,3 +511,21 @@
 		})
 	}
 }
+
+// A caller sends a header of 80 kB. It must hear why (431) and that nothing ran,
+// and its flow must go on.
+func TestHeaderOverTheLimitIsRefused(t *testing.T) {
+	s, rec := startSite(t, "agency", guard.Off{})
+	f, err := openFlow(t.Context(), s, rec, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.close()
+	r, err := f.do(t.Context(), http.MethodPost, "/order?caller=x&long="+strings.Repeat("x", 80<<10), []byte("oats"), "")
+	if err != nil || r.status != http.StatusRequestHeaderFieldsTooLarge || s.Ledger.Runs("oats") != 0 {
+		t.Errorf("%+v, %v, runs %d", r, err, s.Ledger.Runs("oats"))
+	}
+	if r, err := f.do(t.Context(), http.MethodGet, "/screen?caller=x", nil, ""); err != nil || r.status != http.StatusOK {
+		t.Errorf("after it: %+v, %v", r, err)
+	}
+}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -370,3 +370,19 @@
 		t.Error("a cut answer ended as a whole one")
 	}
 }
+
+// A caller's body turns out to be longer than allowed while it is sent on. What
+// ended it must be told from a failing upstream, which would be held for cold.
+func TestErrorOfTheCallersBodyIsKept(t *testing.T) {
+	overBoth(t, func(t *testing.T, p Protocol) {
+		c := serveUpstream(t, p, func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+		r := newRequest(t, http.MethodPost, "/upload", "")
+		r.ContentLength = -1
+		r.Body = http.MaxBytesReader(nil, io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<20))), 1<<19)
+		_, err := c.Do(r, "1")
+		var long *http.MaxBytesError
+		if !errors.As(err, &long) {
+			t.Errorf("err = %v", err)
+		}
+	})
+}
