End with a zone what siblings passed to it

An agent that is full passes a feed to a sibling, which may be in another zone. When that zone goes out its agents close their flows, but this one's flow ends at an agent whose zone is in, so the feed was served on from a zone that must be silent. Ruled out: a late bundle (in force everywhere was waited for) and the flow whose path is silenced (it holds no feed).

Change: requests from siblings end when the agent's zone does, and new ones are refused: as not run, or as unknown for an order that comes home.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -274,6 +274,7 @@
 	}
 	a.zoneOut.Store(out)
 	if !out {
+		a.front.outside.follow(&a.zoneOut)
 		a.Log.Add(events.ZoneIn, slog.Int("zone", int(a.opts.Zone)))
 		return
 	}
@@ -284,6 +285,7 @@
 		select {
 		case <-t.C:
 			if a.zoneOut.Load() {
+				a.front.outside.follow(&a.zoneOut)
 				a.flows.closeAll(codeZoneOut, "availability zone out")
 			}
 		case <-ctx.Done():
--- a/agent/front.go
+++ b/agent/front.go
@@ -26,6 +26,8 @@
 	*dispatcher
 	orders *orders
 	zone   bundle.ZoneID
+	// outside holds what siblings passed here until the zone goes out.
+	outside outside
 }
 
 // flowKey is the context's key for the flow of a connection.
@@ -53,7 +55,13 @@
 			(&refusal{http.StatusMisdirectedRequest, "service", "not an agent of this service", "", OutcomeNotRun, 0}).write(w)
 			return
 		}
-		f.serve(w, r, parseFlow(r.Header), passed)
+		ctx, stop, ok := f.outside.enter(r.Context())
+		defer stop()
+		if !ok {
+			refuseOutside(passed).write(w)
+			return
+		}
+		f.serve(w, r.WithContext(ctx), parseFlow(r.Header), passed)
 	})
 }
 
--- a/agent/history_test.go
+++ b/agent/history_test.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -527,3 +528,69 @@
 		})
 	}
 }
+
+// A feed was passed to a sibling in another zone, which goes out. The flow ends at
+// an agent whose zone is in, so nothing closes it, and the zone's upstream sent on
+// (seen after 3.2 s). It must be ended, and nothing more be taken, until the zone
+// is back.
+func TestWhatWasPassedToAZoneEndsWithIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, guard.Off{})
+		w.calm = true
+		f := w.agents[0]
+		f.client = upstream.NewClientOver(worldAddr(0), endlessUp{})
+		ask := func(passed string) (rec *httptest.ResponseRecorder) {
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/feed", nil)
+			r.Header.Set(headerPassed, passed)
+			r.Header.Set(headerService, "1")
+			rec = httptest.NewRecorder()
+			defer func() {
+				if recover() == http.ErrAbortHandler {
+					rec.Code = 0 // cut, as its reader sees it
+				}
+			}()
+			f.peerHandler().ServeHTTP(rec, r)
+			return rec
+		}
+		var out atomic.Bool
+		done := make(chan int)
+		go func() { done <- ask(passedWork).Code }()
+		synctest.Wait()
+		start := time.Now()
+		out.Store(true)
+		f.outside.follow(&out)
+		if code := <-done; code != 0 || time.Since(start) > time.Second {
+			t.Errorf("the feed ended after %v with status %d; it must be cut at once", time.Since(start), code)
+		}
+		for passed, want := range map[string]Outcome{passedWork: OutcomeNotRun, passedHome: OutcomeUnknown} {
+			if got := ask(passed).Header().Get(HeaderOutcome); Outcome(got) != want {
+				t.Errorf("%s to a zone that is out: outcome %q, want %q", passed, got, want)
+			}
+		}
+		out.Store(false)
+		f.outside.follow(&out)
+		go func() { done <- ask(passedWork).Code }()
+		synctest.Wait()
+		select {
+		case code := <-done:
+			t.Errorf("after the zone's return a feed ended with status %d", code)
+		default:
+		}
+		out.Store(true)
+		f.outside.follow(&out)
+		<-done
+	})
+}
+
+// endlessUp is the way to an upstream that answers and never ends.
+type endlessUp struct{}
+
+// RoundTrip returns an answer whose body ends with the request's context.
+func (endlessUp) RoundTrip(r *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	a := response(http.StatusOK, r.Header.Get(upstream.HeaderRequest), "")
+	in, out := io.Pipe()
+	context.AfterFunc(r.Context(), func() { out.CloseWithError(r.Context().Err()) })
+	a.Body = in
+	return a, nil
+}
--- a/demo/callers.go
+++ b/demo/callers.go
@@ -98,7 +98,7 @@
 
 func (c *caller) openFailed(err error) {
 	var app *quic.ApplicationError
-	if errors.As(err, &app) {
+	if errors.As(err, &app) || wasReset(err) && c.s.anyOut() {
 		return // it was opened, and then closed with a reason
 	}
 	var t *quic.TransportError
--- a/demo/flow.go
+++ b/demo/flow.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -40,10 +41,13 @@
 	h3      *http3.ClientConn
 	tr      *quic.Transport
 	// socket is the flow's own; nil if it shares a transport with others.
-	socket  *net.UDPConn
-	zone    atomic.Int32
-	at      atomic.Pointer[string]
-	counted bool
+	socket *net.UDPConn
+	zone   atomic.Int32
+	// workZone is the zone of the upstream that answered last; it is another than
+	// the flow's if the request was passed on.
+	workZone atomic.Int32
+	at       atomic.Pointer[string]
+	counted  bool
 	// moved closes the ports that the flow was moved to.
 	moved []func()
 }
@@ -167,6 +171,8 @@
 	if z, err := strconv.Atoi(a.Header.Get(agent.HeaderZone)); err == nil {
 		f.zone.Store(int32(z))
 	}
+	z := slices.Index(f.s.Deployment.Zones, bundle.Name(a.Header.Get("Upstream-Zone")))
+	f.workZone.Store(int32(z + 1))
 	f.place(a.Header.Get(agent.HeaderAgent))
 	return a, nil
 }
@@ -207,7 +213,9 @@
 		return faultMoved
 	case errors.As(err, &app) && strings.Contains(app.ErrorMessage, "zone out"):
 		return faultZone
-	case f.s.wasOut(bundle.ZoneID(f.zone.Load())):
+	case wasReset(err) && f.s.anyOut():
+		return faultZone // it was opened there, and got no answer that says so
+	case f.s.wasOut(bundle.ZoneID(f.zone.Load())), f.s.wasOut(bundle.ZoneID(f.workZone.Load())):
 		return faultZone
 	case strings.Contains(err.Error(), "graceful shutdown"):
 		return faultMoved
@@ -220,6 +228,12 @@
 	return faultFlow
 }
 
+// wasReset reports whether the flow ended by a stateless reset.
+func wasReset(err error) bool {
+	var r *quic.StatelessResetError
+	return errors.As(err, &r)
+}
+
 // note counts a fault; it returns whether the flow must be opened anew.
 func (f *flow) note(x fault, err error, what string) {
 	switch x {
--- a/demo/site.go
+++ b/demo/site.go
@@ -337,6 +337,12 @@
 	return s.out[z]
 }
 
+func (s *Site) anyOut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.out) > 0
+}
+
 // wasKilled reports whether the agent's VM was killed.
 func (s *Site) wasKilled(agent string) bool {
 	for _, u := range s.all() {
