Open the desk and the key of signing commands in one place

bundle sign, zone out and zone in read both with the same lines; SignOptions has the platform's settings in it now and one method for the two. Nothing changes for users: the help's golden files are the same.

--- a/cli/bundle.go
+++ b/cli/bundle.go
@@ -55,6 +55,16 @@
 	return d, a, err
 }
 
+// signer returns the desk and the key to sign with.
+func (o SignOptions) signer() (*operator.Desk, minisign.PrivateKey, error) {
+	k, err := o.key()
+	if err != nil {
+		return nil, k, err
+	}
+	d, err := o.desk()
+	return d, k, err
+}
+
 func (o SignOptions) key() (minisign.PrivateKey, error) {
 	b, err := os.ReadFile(o.Sign)
 	if err != nil {
@@ -155,11 +165,7 @@
 	if err != nil {
 		return err
 	}
-	k, err := o.key()
-	if err != nil {
-		return err
-	}
-	d, err := o.desk()
+	d, k, err := o.signer()
 	if err != nil {
 		return err
 	}
@@ -252,11 +258,7 @@
 }
 
 func zoneMove(ctx context.Context, o ZoneMove, to bundle.ZoneState, s streams) error {
-	k, err := o.key()
-	if err != nil {
-		return err
-	}
-	d, err := o.desk()
+	d, k, err := o.signer()
 	if err != nil {
 		return err
 	}
--- a/cli/options.go
+++ b/cli/options.go
@@ -48,6 +48,7 @@
 
 // SignOptions say who signs.
 type SignOptions struct {
+	PlatformOptions
 	Sign     string `help:"File of the operator's secret key, from pomeloway key operator." required:"" type:"path" env:"POMELOWAY_SIGN" placeholder:"FILE"`
 	Password string `help:"Password of the secret key." env:"POMELOWAY_PASSWORD"`
 	Author   string `help:"Who signs; others see it when they race." env:"POMELOWAY_AUTHOR" default:"${user}"`
@@ -85,7 +86,6 @@
 
 // BundleSign signs a file.
 type BundleSign struct {
-	PlatformOptions
 	SignOptions
 	File string `arg:"" help:"YAML file of the bundle." type:"existingfile"`
 	Out  string `help:"File for the signed bundle; FILE.signed if not given." type:"path" placeholder:"FILE"`
@@ -134,7 +134,6 @@
 
 // ZoneMove moves a zone.
 type ZoneMove struct {
-	PlatformOptions
 	SignOptions
 	Zone bundle.Name `arg:"" help:"Name of the availability zone."`
 }
