Report each second of a zone's move

Cause: the report had one share and one percentile for the whole move, which hide the second in which callers wait.

Change: moveSeconds, each with what was asked, the share answered and the 99th percentile.

--- a/demo/report.go
+++ b/demo/report.go
@@ -41,6 +41,7 @@
 	BundleInForceSeconds  float64            `json:"bundleInForceSeconds"`
 	MoveAnsweredShare     float64            `json:"moveAnsweredShare"`
 	MoveP99Seconds        float64            `json:"moveP99Seconds"`
+	MoveSeconds           []Second           `json:"moveSeconds,omitempty"`
 	P50Seconds            float64            `json:"p50Seconds"`
 	P99Seconds            float64            `json:"p99Seconds"`
 	PlatformReads         uint64             `json:"platformReads"`
@@ -49,6 +50,15 @@
 	Causes                map[string]int     `json:"causes,omitempty"`
 }
 
+// Second is what came of the requests that ended in one second of a zone's move.
+type Second struct {
+	// Second counts from the operator's command to take the zone out.
+	Second        int     `json:"second"`
+	Asked         int     `json:"asked"`
+	AnsweredShare float64 `json:"answeredShare"`
+	P99Seconds    float64 `json:"p99Seconds"`
+}
+
 // Limits that an invariant of the report is held to.
 const (
 	zoneOutLimit    = 5.0
@@ -172,28 +182,43 @@
 		slices.Sort(x)
 		out.Imbalance[s] = x[len(x)/2]
 	}
-	var all, move []time.Duration
-	asked, got := 0, 0
+	var all []time.Duration
 	for _, s := range r.took {
 		if s.answered {
 			all = append(all, s.took)
 		}
-		if s.at.After(from) && s.at.Before(to) {
-			asked++
-			if s.answered {
-				got++
-				move = append(move, s.took)
-			}
-		}
 	}
 	out.P50Seconds, out.P99Seconds = quantile(all, 0.5), quantile(all, 0.99)
-	out.MoveP99Seconds = quantile(move, 0.99)
-	if asked > 0 {
-		out.MoveAnsweredShare = float64(got) / float64(asked)
+	whole := window(r.took, from, to)
+	out.MoveAnsweredShare, out.MoveP99Seconds = whole.AnsweredShare, whole.P99Seconds
+	for at := from; at.Before(to); at = at.Add(time.Second) {
+		w := window(r.took, at, at.Add(time.Second))
+		w.Second = len(out.MoveSeconds)
+		out.MoveSeconds = append(out.MoveSeconds, w)
 	}
 	return out
 }
 
+// window sums up the requests that ended from the one time until the other.
+func window(took []sample, from, to time.Time) Second {
+	var w Second
+	var answered []time.Duration
+	for _, s := range took {
+		if s.at.Before(from) || !s.at.Before(to) {
+			continue
+		}
+		w.Asked++
+		if s.answered {
+			answered = append(answered, s.took)
+		}
+	}
+	w.P99Seconds = quantile(answered, 0.99)
+	if w.Asked > 0 {
+		w.AnsweredShare = float64(len(answered)) / float64(w.Asked)
+	}
+	return w
+}
+
 func quantile(d []time.Duration, q float64) float64 {
 	if len(d) == 0 {
 		return 0
