--- a/agent/conn.go
+++ b/agent/conn.go
@@ -129,7 +129,7 @@
 	var b [link.HeaderSize]byte
 	(*c.keys.Load())[0].Put(b[:], &link.Message{
 		Kind: link.KindHeartbeatAck, Zone: c.zone, Service: c.service,
-		Number: uint64(c.life), Load: uint16(min(c.flows(), 1<<16-1)), Sent: uint32(now.Unix()),
+		Number: uint64(c.life), Load: c.load(), Sent: uint32(now.Unix()),
 	})
 	c.socket.WriteToUDPAddrPort(b[:], from)
 }
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -105,7 +105,7 @@
 		return a, err
 	}
 	if d.isLeaving() {
-		return d.passOrRefuse(ctx, j, "this upstream leaves and no other has a free slot")
+		return d.passOrRefuse(ctx, j, refuseFull("this upstream leaves and no other has a free slot"))
 	}
 	return d.wait(ctx, j)
 }
@@ -132,11 +132,12 @@
 	return nil, refuseFull(err.Error())
 }
 
-func (d *dispatcher) passOrRefuse(ctx context.Context, j *job, why string) (*answer, error) {
+// passOrRefuse passes the job on; if no sibling takes it, it is refused as given.
+func (d *dispatcher) passOrRefuse(ctx context.Context, j *job, refused *refusal) (*answer, error) {
 	if a, err := d.pass(ctx, j); a != nil || !isNotRun(err) {
 		return a, err
 	}
-	return nil, refuseFull(why)
+	return nil, refused
 }
 
 // isNotRun reports whether the error proves that the request did not run.
@@ -210,10 +211,7 @@
 	if j.passed || !d.retries.spend() {
 		return nil, refused
 	}
-	if a, err := d.pass(ctx, j); a != nil || !isNotRun(err) {
-		return a, err
-	}
-	return nil, refused
+	return d.passOrRefuse(ctx, j, refused)
 }
 
 // answered wires the end of the answer to the slot.
--- a/agent/outside.go
+++ b/agent/outside.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 )
@@ -17,8 +16,9 @@
 type outside struct {
 	mu  sync.Mutex
 	out bool
-	// cut is closed when the zone goes out; nil until somebody needs it.
-	cut chan struct{}
+	// in ends with end, when the zone goes out; nil until somebody needs it.
+	in  context.Context
+	end context.CancelFunc
 }
 
 // enter returns a context that ends when the zone goes out, or false if it is out.
@@ -29,18 +29,11 @@
 	if o.out {
 		return ctx, stop, false
 	}
-	if o.cut == nil {
-		o.cut = make(chan struct{})
+	if o.in == nil {
+		o.in, o.end = context.WithCancel(context.Background())
 	}
-	cut := o.cut
-	go func() {
-		select {
-		case <-cut:
-			stop()
-		case <-ctx.Done():
-		}
-	}()
-	return ctx, stop, true
+	leave := context.AfterFunc(o.in, stop)
+	return ctx, func() { leave(); stop() }, true
 }
 
 // follow takes over whether the zone is out, and ends what is here if so. The flag
@@ -50,9 +43,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.out = out.Load()
-	if o.out && o.cut != nil {
-		close(o.cut)
-		o.cut = nil
+	if o.out && o.in != nil {
+		o.end()
+		o.in = nil
 	}
 }
 
@@ -62,5 +55,5 @@
 	if passed == passedHome {
 		return refuseUnknown("the availability zone of the agent that issued the key is out")
 	}
-	return &refusal{http.StatusServiceUnavailable, "full", "the availability zone is out", "", OutcomeNotRun, retrySoon}
+	return refuseFull("the availability zone is out")
 }
--- a/agent/paths.go
+++ b/agent/paths.go
@@ -78,6 +78,9 @@
 		}
 	}
 	p.rebuild(now)
+	if len(p.live) == 0 {
+		p.assign() // by the spare, which are new
+	}
 }
 
 // expire drops the balancers that fell silent.
@@ -100,10 +103,11 @@
 	slices.SortFunc(live, netip.AddrPort.Compare)
 	changed := !slices.Equal(live, p.live)
 	p.live = live
-	if changed || len(live) == 0 {
-		p.assign()
+	if !changed {
+		return
 	}
-	if changed && p.moved != nil {
+	p.assign()
+	if p.moved != nil {
 		p.moved(live)
 	}
 }
