Keep once which zones are out, and once what a process says of its bundle

Cause: a balancer kept the zones' state in two maps, one for the log and one for resets, and went through the bundle's zones twice; Status read what Version does.

Change: the time since which a zone is out says that it is; noteZones logs from it when the bundle changes. Status is made of Version. The log line of a zone comes before the new view is in force, no longer just after it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -38,8 +38,7 @@
 	counters []*Counters
 	closed   bool
 	wait     sync.WaitGroup
-	zones    map[bundle.ZoneID]bool
-	// outSince is when this balancer learnt that a zone is out.
+	// outSince has the zones that are out, and when this balancer learnt of it.
 	outSince map[bundle.ZoneID]time.Time
 }
 
@@ -56,7 +55,7 @@
 		s.Close()
 		return nil, err
 	}
-	b := &Balancer{Process: p, off: off, opts: o, link: s, zones: map[bundle.ZoneID]bool{}, outSince: map[bundle.ZoneID]time.Time{}, kill: make(chan struct{})}
+	b := &Balancer{Process: p, off: off, opts: o, link: s, outSince: map[bundle.ZoneID]time.Time{}, kill: make(chan struct{})}
 	b.view.Store(&View{links: link.NewKeys(p.Keys())})
 	b.ports.Store(&portMap{})
 	p.SetState(func() any { return b.Counts() })
@@ -164,46 +163,44 @@
 	}
 	ms, _ := b.State.Snapshot()
 	old := b.view.Load()
+	if old.Version != a.Version {
+		b.noteZones(a.Bundle)
+	}
 	v := NewView(a, r, ms, b.State.Doubted())
 	v.off = b.off
 	b.planResets(v, a.Bundle)
 	b.view.Store(v)
 	if old.Version != v.Version {
 		b.Rekey(r)
-		b.logZones(a.Bundle)
 		b.listen(a.Bundle)
 	}
 	b.SetReady(!v.zoneOut[b.opts.Zone] && !b.leaving.Load())
 }
 
-// planResets sets from when on flows of the zones that are out get resets: when
-// the agents' time to close them has passed, counted from when this balancer
-// learnt of it. Callers that were told by their agent never see one.
-func (b *Balancer) planResets(v *View, x *bundle.Bundle) {
-	wait := x.Timeouts.OrDefault().ZoneOutRun + resetMargin
+// noteZones takes over which zones are out, and logs each that changed.
+func (b *Balancer) noteZones(x *bundle.Bundle) {
 	for _, z := range x.Zones {
-		if z.State != bundle.ZoneStateOut {
-			delete(b.outSince, z.ID)
-			continue
-		}
-		if _, ok := b.outSince[z.ID]; !ok {
+		_, was := b.outSince[z.ID]
+		switch out := z.State == bundle.ZoneStateOut; {
+		case out && !was:
 			b.outSince[z.ID] = time.Now()
+			b.Log.Add(events.ZoneOut, slog.String("zone", string(z.Name)))
+		case !out && was:
+			delete(b.outSince, z.ID)
+			b.Log.Add(events.ZoneIn, slog.String("zone", string(z.Name)))
 		}
-		v.resetFrom[z.ID] = uint32(b.outSince[z.ID].Add(wait).Unix())
 	}
 }
 
-func (b *Balancer) logZones(x *bundle.Bundle) {
+// planResets sets from when on flows of the zones that are out get resets: when
+// the agents' time to close them has passed, counted from when this balancer
+// learnt of it. Callers that were told by their agent never see one.
+func (b *Balancer) planResets(v *View, x *bundle.Bundle) {
+	wait := x.Timeouts.OrDefault().ZoneOutRun + resetMargin
 	for _, z := range x.Zones {
-		out := z.State == bundle.ZoneStateOut
-		if was, ok := b.zones[z.ID]; (ok || out) && was != out {
-			id := events.ZoneIn
-			if out {
-				id = events.ZoneOut
-			}
-			b.Log.Add(id, slog.String("zone", string(z.Name)))
+		if t, out := b.outSince[z.ID]; out {
+			v.resetFrom[z.ID] = uint32(t.Add(wait).Unix())
 		}
-		b.zones[z.ID] = out
 	}
 }
 
--- a/process/process.go
+++ b/process/process.go
@@ -267,11 +267,12 @@
 
 // Status returns the present view.
 func (p *Process) Status() Status {
-	s := Status{Self: p.Node.Self(), Ready: p.ready.Load(), PlatformDown: p.Node.PlatformDown(), DecisionsLost: p.Log.Lost()}
-	s.Members, s.Opinions = p.State.Snapshot()
-	if a := p.State.Accepted(); a != nil {
-		s.BundleVersion, s.BundleDigest = a.Version, a.Digest
+	v := p.Version()
+	s := Status{
+		Self: p.Node.Self(), Ready: v.Ready, BundleVersion: v.Version, BundleDigest: v.Digest,
+		PlatformDown: v.PlatformDown, DecisionsLost: p.Log.Lost(),
 	}
+	s.Members, s.Opinions = p.State.Snapshot()
 	p.mu.Lock()
 	f := p.state
 	p.mu.Unlock()
