Make a fresh operator's key, and start sites and programs, in one place each

Cause: six places made a key and a verifier from it with the same lines; the demo started agents and balancers with twin code; two benchmarks started their sites by copies of what the scenarios call.

Change: bundle.NewOperator; Site.begin; startDeployment takes a testing.TB and serves the benchmarks. An operator's test needs no second name for math/rand now.

--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -1,7 +1,6 @@
 package bundle
 
 import (
-	"crypto/rand"
 	"errors"
 	"fmt"
 	"strings"
@@ -75,11 +74,7 @@
 
 func signer(t *testing.T) (minisign.PrivateKey, *Verifier) {
 	t.Helper()
-	pub, key, err := minisign.GenerateKey(rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	v, err := NewVerifier([]string{pub.String()})
+	key, v, err := NewOperator()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/bundle/signed.go
+++ b/bundle/signed.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -97,6 +98,16 @@
 	return v, nil
 }
 
+// NewOperator returns a fresh key of an operator and the verifier that trusts it
+// alone, for sites that are made for one run.
+func NewOperator() (minisign.PrivateKey, *Verifier, error) {
+	pub, key, err := minisign.GenerateKey(rand.Reader)
+	if err != nil {
+		return key, nil, eris.Wrap(err, "operator's key")
+	}
+	return key, &Verifier{Keys: []minisign.PublicKey{pub}}, nil
+}
+
 // Verify returns the accepted form of a signed bundle, or why it is none.
 //
 // An altered or unsigned bundle shows as a failing signature here, in every
--- a/capacity/bundles.go
+++ b/capacity/bundles.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -74,11 +73,7 @@
 // Bundles measures bundles of growing size.
 func Bundles(sizes []int) ([]Slope, error) {
 	k := keyring.NewSecret(1)
-	pub, key, err := minisign.GenerateKey(rand.Reader)
-	if err != nil {
-		return nil, err
-	}
-	v, err := bundle.NewVerifier([]string{pub.String()})
+	key, v, err := bundle.NewOperator()
 	if err != nil {
 		return nil, err
 	}
--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"time"
 
-	"log/slog"
-
 	"pomeloway.example/pomeloway/guard"
 )
 
@@ -36,17 +34,8 @@
 	for name, balancers := range map[string]int{"one": 1, "three": 3} {
 		b.Run(name, func(b *testing.B) {
 			d := Deployment{Name: "echo", Zones: Deployments["agency"].Zones, Balancers: balancers, Services: []ServiceSize{{Name: "web", Upstreams: 1, Slots: 5, Connections: 100}}}
-			s, err := NewSite(d, slog.New(slog.DiscardHandler), guard.Off{})
-			if err != nil {
-				b.Fatal(err)
-			}
-			defer s.Close()
-			ctx, stop := context.WithTimeout(b.Context(), startTimeout)
-			defer stop()
-			if err := s.Start(ctx); err != nil {
-				b.Fatal(err)
-			}
-			f, err := openFlow(b.Context(), s, newRecorder(), 0)
+			s, rec := startDeployment(b, d, guard.Off{})
+			f, err := openFlow(b.Context(), s, rec, 0)
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/demo/flow.go
+++ b/demo/flow.go
@@ -68,11 +68,10 @@
 }
 
 func (f *flow) open(ctx context.Context) (*flow, error) {
-	s, rec, service := f.s, f.rec, f.service
 	ctx, stop := context.WithTimeout(ctx, openTimeout)
 	defer stop()
 	var err error
-	f.conn, err = f.tr.Dial(ctx, net.UDPAddrFromAddrPort(s.ServiceAddress(service)), s.callers, &quic.Config{
+	f.conn, err = f.tr.Dial(ctx, net.UDPAddrFromAddrPort(f.s.ServiceAddress(f.service)), f.s.callers, &quic.Config{
 		MaxIdleTimeout: callerIdle, KeepAlivePeriod: callerKeepAlive, HandshakeIdleTimeout: openTimeout,
 	})
 	if err != nil {
@@ -80,7 +79,7 @@
 		return nil, err
 	}
 	f.h3 = (&http3.Transport{}).NewClientConn(f.conn)
-	rec.do(func(r *Report) { r.FlowsOpened++ })
+	f.rec.do(func(r *Report) { r.FlowsOpened++ })
 	// The first answer tells where the flow ends, so that a flow which is given
 	// up with its zone later can be told from one that broke.
 	if _, err := f.do(context.WithoutCancel(ctx), http.MethodPost, agent.PathKey, nil, ""); err != nil {
--- a/demo/request_bench_test.go
+++ b/demo/request_bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"runtime"
 	"slices"
@@ -21,16 +20,7 @@
 func benchSite(b *testing.B, z ServiceSize) *Site {
 	b.Helper()
 	d := Deployment{Name: "bench", Zones: Deployments["agency"].Zones, Balancers: 3, Services: []ServiceSize{z}}
-	s, err := NewSite(d, slog.New(slog.DiscardHandler), guard.Off{})
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(s.Close)
-	ctx, stop := context.WithTimeout(b.Context(), startTimeout)
-	defer stop()
-	if err := s.Start(ctx); err != nil {
-		b.Fatal(err)
-	}
+	s, _ := startDeployment(b, d, guard.Off{})
 	warm(b, s)
 	return s
 }
--- a/demo/scenario_test.go
+++ b/demo/scenario_test.go
@@ -39,7 +39,7 @@
 	return startDeployment(t, Deployments[name], off)
 }
 
-func startDeployment(t *testing.T, d Deployment, off guard.Off) (*Site, *recorder) {
+func startDeployment(t testing.TB, d Deployment, off guard.Off) (*Site, *recorder) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	if n := os.Getenv("POMELOWAY_TEST_LOG"); n != "" {
--- a/demo/site.go
+++ b/demo/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
 	"log/slog"
 	"net"
@@ -102,15 +101,11 @@
 		// Sites of several programs on one machine keep apart by their number.
 		net: byte(10 + os.Getpid()%240), index: byte(sites.Add(1)),
 	}
-	pub, key, err := minisign.GenerateKey(rand.Reader)
-	if err != nil {
-		return nil, eris.Wrap(err, "operator's key")
-	}
-	s.sign, s.trust = key, pub.String()
-	v, err := bundle.NewVerifier([]string{s.trust})
+	key, v, err := bundle.NewOperator()
 	if err != nil {
 		return nil, err
 	}
+	s.sign, s.trust = key, v.Keys[0].String()
 	if s.serve, s.callers, err = selfSigned(); err != nil {
 		return nil, err
 	}
@@ -210,20 +205,27 @@
 		return nil, err
 	}
 	b.Node.Lag = s.Lag
-	ctx, stop := context.WithCancel(context.Background())
-	e := &entry{Balancer: b, host: h, zone: z, stop: stop, done: make(chan struct{})}
-	s.wait.Go(func() {
-		defer close(e.done)
-		if err := b.Run(ctx); err != nil {
-			s.log.Error("balancer ended", "error", err)
-		}
-	})
+	e := &entry{Balancer: b, host: h, zone: z, done: make(chan struct{})}
+	e.stop = s.begin("balancer", b.Run, e.done)
 	s.mu.Lock()
 	s.balancers = append(s.balancers, e)
 	s.mu.Unlock()
 	return e, nil
 }
 
+// begin runs a program until it ends, which closes done; the function that it
+// returns asks it to stop gracefully.
+func (s *Site) begin(name string, run func(context.Context) error, done chan struct{}) context.CancelFunc {
+	ctx, stop := context.WithCancel(context.Background())
+	s.wait.Go(func() {
+		defer close(done)
+		if err := run(ctx); err != nil {
+			s.log.Error(name+" ended", "error", err)
+		}
+	})
+	return stop
+}
+
 // SyncFabric makes the fabric spray over the balancers that say they are ready.
 func (s *Site) SyncFabric(extra ...*entry) {
 	s.mu.Lock()
--- a/demo/unit.go
+++ b/demo/unit.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"net"
 	"net/netip"
 	"time"
@@ -48,14 +47,7 @@
 		return err
 	}
 	a.Node.Lag = s.Lag
-	ctx, stop := context.WithCancel(context.Background())
-	u.agent, u.stop = a, stop
-	s.wait.Go(func() {
-		defer close(u.done)
-		if err := a.Run(ctx); err != nil {
-			s.log.Error("agent ended", "error", err)
-		}
-	})
+	u.agent, u.stop = a, s.begin("agent", a.Run, u.done)
 	s.mu.Lock()
 	s.upstreams = append(s.upstreams, u)
 	s.ever = append(s.ever, u)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -10,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"aead.dev/minisign"
 	"pgregory.net/rapid"
 
 	"pomeloway.example/pomeloway/bundle"
@@ -93,8 +91,10 @@
 // bundle that was in force before. Taking it would silently undo what operators
 // were told is in force.
 func TestBundleNeverGoesBack(t *testing.T) {
-	pub, key, _ := minisign.GenerateKey(rand.Reader)
-	v, _ := bundle.NewVerifier([]string{pub.String()})
+	key, v, err := bundle.NewOperator()
+	if err != nil {
+		t.Fatal(err)
+	}
 	s := NewState(v)
 	signed := func(version bundle.Version, comment string) *bundle.Signed {
 		text := fmt.Sprintf("# %s\nzones: [{id: 1, name: z, state: in}]\nkeys: [{id: 1, fingerprint: ab}]\ncurrentKey: 1\nservices: []\n", comment)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -3,10 +3,9 @@
 import (
 	"cmp"
 	"context"
-	"crypto/rand"
 	"errors"
 	"fmt"
-	mrand "math/rand/v2"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -41,11 +40,7 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	pub, key, err := minisign.GenerateKey(rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	v, err := bundle.NewVerifier([]string{pub.String()})
+	key, v, err := bundle.NewOperator()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -249,10 +244,10 @@
 	var ops []porcupine.Operation
 	var w sync.WaitGroup
 	start := time.Now()
-	think := func(r *mrand.Rand) { time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond) }
+	think := func(r *rand.Rand) { time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond) }
 	for who := range 4 {
 		w.Go(func() {
-			r := mrand.New(mrand.NewPCG(seed, uint64(who)))
+			r := rand.New(rand.NewPCG(seed, uint64(who)))
 			for i := range 3 {
 				if r.IntN(3) == 0 {
 					b.store.Set(standin.Faults{LoseAnswers: 1})
@@ -309,7 +304,7 @@
 			var mu sync.Mutex
 			var w sync.WaitGroup
 			for who := range 4 {
-				r := mrand.New(mrand.NewPCG(7, uint64(who)))
+				r := rand.New(rand.NewPCG(7, uint64(who)))
 				w.Go(func() {
 					for i := range 25 {
 						time.Sleep(time.Duration(r.IntN(100)) * time.Millisecond)
--- a/peer/pack_test.go
+++ b/peer/pack_test.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -40,11 +39,7 @@
 
 func newLine(t *testing.T) *line {
 	t.Helper()
-	pub, key, err := minisign.GenerateKey(rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	v, err := bundle.NewVerifier([]string{pub.String()})
+	key, v, err := bundle.NewOperator()
 	if err != nil {
 		t.Fatal(err)
 	}
