Move tests of the front, of overload and of silent paths to files of their own

Cause: agent/history_test.go (596 lines) held the world in memory, the histories and tests of single requests; demo/faults_test.go (527) scenarios of all kinds.

Change: moved only.

--- /dev/null
+++ b/agent/front_test.go
@@ -0,0 +1,194 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pomeloway.example/pomeloway/guard"
+	"pomeloway.example/pomeloway/upstream"
+)
+
+// A clerk uploads a scan to an agent that is full; its sibling is full, too, and
+// refuses after it has read a part. The scan must not be refused for that: it is
+// kept whole, and sent when a slot is free.
+func TestUploadIsNotSpentOnAFullSibling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3, guard.Off{})
+		w.calm = true
+		for _, f := range w.agents {
+			for range 3 {
+				f.gate.TryAcquire()
+			}
+		}
+		time.AfterFunc(time.Second, func() { w.agents[0].gate.Release(upstream.Sign{}) })
+		scan := strings.Repeat("x", 4*replayMost)
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/upload", strings.NewReader(scan))
+		rec := httptest.NewRecorder()
+		w.agents[0].ServeHTTP(rec, r)
+		if rec.Code != http.StatusOK || rec.Body.Len() != len(scan) {
+			t.Errorf("status %d: %.200s", rec.Code, rec.Body)
+		}
+	})
+}
+
+// An upstream dies while a teacher's screen is read from it. Reading it again
+// elsewhere harms nobody, so the screen must come; an order, which may have run,
+// must not be sent again, and nothing may be when the retries are spent.
+func TestOnlyReadingIsRepeatedAfterAnUnknownOutcome(t *testing.T) {
+	for name, x := range map[string]struct {
+		method string
+		spent  bool
+		status int
+		tries  int
+	}{
+		"a screen":                      {http.MethodGet, false, http.StatusOK, 2},
+		"an order without a key":        {http.MethodPost, false, http.StatusBadGateway, 1},
+		"an update":                     {http.MethodPut, false, http.StatusBadGateway, 1},
+		"a screen, all retries spent":   {http.MethodGet, true, http.StatusBadGateway, 1},
+		"what an upstream may not know": {"PROPFIND", false, http.StatusBadGateway, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, guard.Off{})
+				w.calm = true
+				dies := &dyingUp{}
+				w.agents[0].client = upstream.NewClientOver(worldAddr(0), dies)
+				for range 200 {
+					w.agents[0].retries.earn()
+				}
+				for x.spent && w.agents[0].retries.spend() {
+				}
+				rec := httptest.NewRecorder()
+				w.agents[0].ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), x.method, "/screen", nil))
+				if tries := dies.asked + int(w.agents[1].counts.Placed.Load()+w.agents[2].counts.Placed.Load()); rec.Code != x.status || tries != x.tries {
+					t.Errorf("status %d after %d tries: %s", rec.Code, tries, rec.Body)
+				}
+			})
+		})
+	}
+}
+
+// dyingUp is the way to an upstream that dies with each request it has read.
+type dyingUp struct{ asked int }
+
+// RoundTrip reads the request and fails.
+func (u *dyingUp) RoundTrip(r *http.Request) (*http.Response, error) {
+	u.asked++
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	return nil, errWire
+}
+
+// A clerk picks a film in place of a scan. The service takes bodies of 64 kB: the
+// film must be refused with the reason, at once if its length is said, and its
+// upstream must not be held for broken because of it.
+func TestBodiesOverTheLimitAreRefused(t *testing.T) {
+	const most = 64 << 10
+	for name, x := range map[string]struct {
+		length  int
+		said    bool
+		status  int
+		outcome Outcome
+	}{
+		"as long as allowed, said":   {most, true, http.StatusOK, ""},
+		"as long as allowed, unsaid": {most, false, http.StatusOK, ""},
+		"longer, said":               {most + 1, true, http.StatusRequestEntityTooLarge, OutcomeNotRun},
+		"longer, unsaid":             {most + 1, false, http.StatusRequestEntityTooLarge, OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, guard.Off{})
+				w.calm = true
+				f := w.agents[0]
+				s := *f.service.Load()
+				s.Upstreams.Body = most
+				f.service.Store(&s)
+				r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/upload", strings.NewReader(strings.Repeat("x", x.length)))
+				if !x.said {
+					r.ContentLength = -1
+				}
+				rec := httptest.NewRecorder()
+				f.ServeHTTP(rec, r)
+				if rec.Code != x.status || Outcome(rec.Header().Get(HeaderOutcome)) != x.outcome {
+					t.Errorf("status %d, outcome %q: %.200s", rec.Code, rec.Header().Get(HeaderOutcome), rec.Body)
+				}
+				if l := f.gate.Load(); l.Slots != 3 || l.Running != 0 {
+					t.Errorf("the upstream is held for cold, or a slot is lost: %+v", l)
+				}
+			})
+		})
+	}
+}
+
+// A feed was passed to a sibling in another zone, which goes out. The flow ends at
+// an agent whose zone is in, so nothing closes it, and the zone's upstream sent on
+// (seen after 3.2 s). It must be ended, and nothing more be taken, until the zone
+// is back.
+func TestWhatWasPassedToAZoneEndsWithIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, guard.Off{})
+		w.calm = true
+		f := w.agents[0]
+		f.client = upstream.NewClientOver(worldAddr(0), endlessUp{})
+		ask := func(passed string) (rec *httptest.ResponseRecorder) {
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/feed", nil)
+			r.Header.Set(headerPassed, passed)
+			r.Header.Set(headerService, "1")
+			rec = httptest.NewRecorder()
+			defer func() {
+				if recover() == http.ErrAbortHandler {
+					rec.Code = 0 // cut, as its reader sees it
+				}
+			}()
+			f.peerHandler().ServeHTTP(rec, r)
+			return rec
+		}
+		var out atomic.Bool
+		done := make(chan int)
+		go func() { done <- ask(passedWork).Code }()
+		synctest.Wait()
+		start := time.Now()
+		out.Store(true)
+		f.outside.follow(&out)
+		if code := <-done; code != 0 || time.Since(start) > time.Second {
+			t.Errorf("the feed ended after %v with status %d; it must be cut at once", time.Since(start), code)
+		}
+		for passed, want := range map[string]Outcome{passedWork: OutcomeNotRun, passedHome: OutcomeUnknown} {
+			if got := ask(passed).Header().Get(HeaderOutcome); Outcome(got) != want {
+				t.Errorf("%s to a zone that is out: outcome %q, want %q", passed, got, want)
+			}
+		}
+		out.Store(false)
+		f.outside.follow(&out)
+		go func() { done <- ask(passedWork).Code }()
+		synctest.Wait()
+		select {
+		case code := <-done:
+			t.Errorf("after the zone's return a feed ended with status %d", code)
+		default:
+		}
+		out.Store(true)
+		f.outside.follow(&out)
+		<-done
+	})
+}
+
+// endlessUp is the way to an upstream that answers and never ends.
+type endlessUp struct{}
+
+// RoundTrip returns an answer whose body ends with the request's context.
+func (endlessUp) RoundTrip(r *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	a := response(http.StatusOK, r.Header.Get(upstream.HeaderRequest), "")
+	in, out := io.Pipe()
+	context.AfterFunc(r.Context(), func() { out.CloseWithError(r.Context().Err()) })
+	a.Body = in
+	return a, nil
+}
--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,7 +12,6 @@
 	"pomeloway.example/pomeloway/agent"
 	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/guard"
-	"pomeloway.example/pomeloway/peer"
 	"pomeloway.example/pomeloway/standin"
 )
 
@@ -230,69 +227,6 @@
 	return f
 }
 
-// startFeed opens a flow with a feed of so many lines, ten a second; the channel
-// gets how it ended.
-func startFeed(t *testing.T, s *Site, rec *recorder, lines int) (*flow, <-chan error) {
-	t.Helper()
-	f, err := openFlow(t.Context(), s, rec, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(f.close)
-	done := make(chan error, 1)
-	go func() { done <- f.feed(t.Context(), "teacher", lines, 100*time.Millisecond) }()
-	return f, done
-}
-
-// silence drops what the caller sends, what comes back to it, or both.
-func silence(t *testing.T, f *flow, in, out bool) {
-	t.Helper()
-	from := f.socket.LocalAddr().(*net.UDPAddr).AddrPort()
-	if !f.s.Fabric.Silence(f.s.ServiceAddress(f.service), from, in, out) {
-		t.Fatal("the fabric does not know the caller")
-	}
-}
-
-// Something between caller and fabric forgets the flow: datagrams vanish in both
-// directions, for good, while new flows work. The teacher's screen goes on by
-// moving the flow to a new port, and the agent must follow.
-func TestSilentPathIsLeftByMigration(t *testing.T) {
-	for name, x := range map[string]struct{ in, out bool }{"both ways": {true, true}, "towards the caller": {false, true}, "from the caller": {true, false}} {
-		t.Run(name, func(t *testing.T) {
-			s, rec := startSite(t, "agency", guard.Off{})
-			f, done := startFeed(t, s, rec, 80)
-			time.Sleep(time.Second)
-			silence(t, f, x.in, x.out)
-			time.Sleep(2 * time.Second)
-			if err := f.move(t.Context()); err != nil {
-				t.Fatal(err)
-			}
-			if err := <-done; err != nil {
-				t.Errorf("the feed broke: %v", err)
-			}
-		})
-	}
-}
-
-// The same, but the caller can't move. Both ends must find out within ten
-// seconds and let go: the caller to open a new flow, the agent to free what the
-// flow held.
-func TestSilentPathIsFoundInSeconds(t *testing.T) {
-	s, rec := startSite(t, "agency", guard.Off{})
-	f, done := startFeed(t, s, rec, 1000)
-	time.Sleep(time.Second)
-	silence(t, f, true, true)
-	start := time.Now()
-	if err := <-done; err == nil {
-		t.Error("a feed that was cut ended as whole")
-	}
-	limit, stop := context.WithTimeout(t.Context(), 10*time.Second-time.Since(start))
-	defer stop()
-	if poll(limit, func() bool { return s.feeds() == 0 && s.flows() == 0 }) != nil {
-		t.Errorf("after 10 s: %d feeds at upstreams, %d flows at agents", s.feeds(), s.flows())
-	}
-}
-
 // An upstream's VM dies and another starts at the same address. Its callers'
 // flows and orders are of the old life: the new one must not take them, and say
 // so at once.
@@ -397,88 +331,6 @@
 	time.Sleep(500 * time.Millisecond)
 }
 
-// Twenty-five times the callers that the service has slots for. It must go on answering as
-// many as at its capacity, refuse the others at once and truthfully, and not be
-// driven up by its own retries.
-func TestOverloadKeepsGoodput(t *testing.T) {
-	// Four slots and 32 places in queues: a hundred callers can't all fit.
-	d := Deployment{Name: "small", Zones: Deployments["agency"].Zones, Balancers: 3, Services: []ServiceSize{{Name: "web", Upstreams: 2, Slots: 2, Connections: 2000}}}
-	s, rec := startDeployment(t, d, guard.Off{})
-	warmUp(t, s, rec)
-	// How much is answered is a speed, and only shown; docs/MEASURES.md has it.
-	at := goodput(t, s, 4, 2*time.Second)
-	over := goodput(t, s, 100, 4*time.Second)
-	t.Logf("answered a second: at capacity %.0f, far above %.0f; slowest refusal %v", at.rate, over.rate, over.slowest)
-	if over.refused == 0 {
-		t.Error("nobody was refused: that was no overload")
-	}
-	if over.refusedRun > 0 {
-		t.Errorf("%d refusals were false", over.refusedRun)
-	}
-}
-
-func warmUp(t *testing.T, s *Site, rec *recorder) {
-	ctx, stop := context.WithTimeout(t.Context(), 3*time.Second)
-	defer stop()
-	runCallers(ctx, s, rec, 60/scale, 9)
-}
-
-type load struct {
-	rate       float64
-	refused    int
-	refusedRun int
-	slowest    time.Duration
-}
-
-// goodput has callers order without a pause and returns what came of it.
-func goodput(t *testing.T, s *Site, callers int, d time.Duration) load {
-	t.Helper()
-	var mu sync.Mutex
-	var l load
-	ok := 0
-	ctx, stop := context.WithTimeout(t.Context(), d)
-	defer stop()
-	var w sync.WaitGroup
-	for i := range callers {
-		w.Go(func() {
-			f, err := openFlow(ctx, s, newRecorder(), 0)
-			if err != nil {
-				return
-			}
-			defer f.close()
-			for n := 0; ctx.Err() == nil; n++ {
-				id, start := fmt.Sprintf("load-%d-%d-%d", callers, i, n), time.Now()
-				r, err := f.do(context.Background(), http.MethodPost, "/order?caller=x", []byte(id), "")
-				if err != nil {
-					// quic-go refuses flows that its full queue can't take.
-					if !strings.Contains(err.Error(), "CONNECTION_REFUSED") {
-						t.Error(err)
-					}
-					return
-				}
-				mu.Lock()
-				switch {
-				case r.status == http.StatusOK && ctx.Err() == nil:
-					ok++
-				case r.outcome == agent.OutcomeNotRun:
-					l.refused++
-					l.slowest = max(l.slowest, time.Since(start))
-					if s.Ledger.Runs(id) > 0 {
-						l.refusedRun++
-					}
-				}
-				mu.Unlock()
-				if r.status != http.StatusOK {
-					peer.Sleep(ctx, r.retry)
-				}
-			}
-		})
-	}
-	w.Wait()
-	l.rate = float64(ok) / d.Seconds()
-	return l
-}
-
 // Two faults at once, drawn by seed, and the same one twice.
 func TestPairsOfFaults(t *testing.T) {
 	faults := []struct {
