Search all agents for a flow whose walk gave no result

Cause: a VM that dies is held for alive for 0.85 to 1.1 s, and for longer by balancers that are told seldom. A balancer without memory of a flow asks agents one after another; what reached the dead one was lost, and so was each retransmission, while the flow lived further down the list. Change: a caller's next packet, 100 ms or more after a walk began, goes to all agents of the service at once, beside its walk. While a zone is out only those that know the flow may act on it. An agent that knows the flow says so at once.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -52,14 +52,15 @@
 
 // BalancerCounts count decisions.
 type BalancerCounts struct {
-	Openings, Opened, Refused, Unanswered, Resets, NoRoute, NoAgent uint64
-	Packets, Walked, NotFound, Cut, BadMessages, BadPackets         uint64
+	Openings, Opened, Refused, Unanswered, Resets, NoRoute, NoAgent   uint64
+	Packets, Walked, Searched, NotFound, Cut, BadMessages, BadPackets uint64
 }
 
-// place is where a flow is, or is being opened.
+// place is where a flow is, or is being opened, or since when it is looked for.
 type place struct {
-	agent   IP
+	agent   IP     // 0: not known
 	opening uint32 // 0: it is open
+	looked  time.Duration
 }
 
 const (
@@ -168,7 +169,7 @@
 		b.send(m, Message{Kind: KindPacket, Start: ip}, ip)
 		return
 	}
-	b.walk(m, p, Message{Kind: KindPacket}, 0, now)
+	b.look(m, p, now)
 }
 
 // place returns the agent that the flow is remembered at, or that is being asked
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -94,6 +94,9 @@
 	if h.Hop > 0 || f.phase == flowAsked {
 		f.wanted, f.balancer = true, from
 	}
+	if f.wanted && f.phase == flowOpen {
+		a.mine(k.Flow, f)
+	}
 	a.began(k, f, p, now)
 	a.give(p, pending{balancer: from, start: h.Start, hop: h.Hop, flags: h.Flags})
 }
--- a/datagram/search_test.go
+++ b/datagram/search_test.go
@@ -38,6 +38,29 @@
 	}
 }
 
+// Balancers have lost their memory when an upstream's VM dies. For most of a
+// second they take its agent for alive, and each walk that came to it ended
+// there, with every retransmission, while the flow lived further down.
+func TestDeadAgentHoldsUpNoWalk(t *testing.T) {
+	for seed := range uint64(10) {
+		w := site(t, seed, 4, 7, 300)
+		for _, v := range w.balancersInOrder() {
+			v.stop()
+			v.start()
+		}
+		w.run(w.now + 100*time.Millisecond)
+		w.mark = w.now
+		v := w.agentsInOrder()[seed%7]
+		v.stop()
+		v.u.crash()
+		w.run(w.now + 4*time.Second)
+		w.check()
+		if w.stranded > 0 {
+			t.Errorf("seed %d: %d requests failed on flows whose upstreams live", seed, w.stranded)
+		}
+	}
+}
+
 // An agent greets balancers as its VM starts, and the VM is taken away 0.3 s later.
 // Balancers held it for alive for 4 s, as long as one that tells them seldom, and
 // sent it openings and walks.
