Walk again once all agents can tell, and let agents without upstream hold up no reset

Three VMs whose upstreams had left came back after the loss of all power and were taken away; for 4 s and the second in which they were doubted no caller of any other lost flow was told (160 failed, 73 of them begun after the return). Change: an agent that last said that its upstream had deregistered, or had none after 2 s, holds no flow; a silent one is gone after 2.5 s (4), counted from its own last word by those that it tells often. A balancer keeps the packet of a walk without proof, at most 128, and walks again when every agent of the services can answer.

--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -365,9 +365,10 @@
 // lastSign is when there was last a sign of the agent's life, or word of its end.
 func (a *agentView) lastSign() time.Duration { return max(a.heard, a.told) }
 
-// goneAfter is when a silent agent is held for gone with its flows: longer than
-// its process takes to start again.
-const goneAfter = 4 * time.Second
+// goneAfter is when a silent agent is held for gone with its flows: five times the
+// 0.5 s in which a killed process is started again. Callers' deadlines are 1 to 4 s,
+// and until then each of them waits for an answer that may never come.
+const goneAfter = 2500 * time.Millisecond
 
 // unheardAfter is the same for an agent that is recorded and was not heard since
 // this balancer started: three times the 0.6 s in which a process is started
@@ -375,9 +376,19 @@
 const unheardAfter = 2 * time.Second
 
 // mayLive reports whether a silent agent may still hold flows.
+//
+// Those whose upstream had deregistered, or had not been heard for as long as one
+// that lives needs, hold none. Their VMs are taken away soon after, and callers of
+// quite other upstreams, lost with them in a loss of power, waited for 5 s.
 func (a *agentView) mayLive(now time.Duration) bool {
-	if a.heard == 0 && a.told == 0 {
+	s := &a.status
+	switch {
+	case s.State == UpstreamGone, s.State == UpstreamUnknown && s.Uptime.Duration() > announcedWithin:
+		return false
+	case a.heard == 0 && a.told == 0:
 		return now < a.noted+unheardAfter
+	case a.near():
+		return now-a.heard < goneAfter // told is then this balancer's own doubt
 	}
 	return now-a.lastSign() < goneAfter
 }
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -46,8 +46,11 @@
 	shown    int // peers shown to others so far
 	flows    table[place]
 	openings openings
-	status   time.Duration
-	scratch  [2048]byte
+	// unproved are packets whose walks proved nothing, looked at at walkedAgain.
+	unproved    []*unproved
+	walkedAgain time.Duration
+	status      time.Duration
+	scratch     [2048]byte
 }
 
 // BalancerCounts count decisions.
@@ -222,6 +225,7 @@
 // Tick does what is due and returns when it wants to be called again.
 func (b *Balancer) Tick(now time.Duration) time.Duration {
 	b.retry(now)
+	b.walkAgain(now)
 	b.flows.tick(now)
 	if now-b.status >= StatusEvery {
 		b.sayWhoIsSilent(now)
@@ -229,5 +233,9 @@
 		b.agents.forget(now)
 		b.forgetPeers(now)
 	}
-	return min(b.openings.due(), b.status+StatusEvery)
+	at := min(b.openings.due(), b.status+StatusEvery)
+	if len(b.unproved) > 0 {
+		at = min(at, b.walkedAgain+unprovedEvery)
+	}
+	return at
 }
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -204,15 +204,7 @@
 			b, s := testBalancer(t, 3, now-200*time.Millisecond)
 			x.prepare(b, now)
 			b.HandleCaller(plainPacket(plainData, 5), now)
-			for i := 0; i < len(s.to) && i < 10; i++ {
-				h := s.process[i]
-				if b.agents.byIP[s.to[i]].status.State == UpstreamUnknown {
-					h.Flags |= FlagUnsure // as the agent would answer
-				}
-				if h.Hop != hopFinal {
-					b.notMine(s.to[i], plainPacket(plainData, 5), h, now)
-				}
-			}
+			answer(b, s, 0, now)
 			if s.caller != x.resets {
 				t.Errorf("%d resets after asking %v", s.caller, s.to)
 			}
--- a/datagram/walk.go
+++ b/datagram/walk.go
@@ -58,9 +58,14 @@
 		}
 	})
 	b.Log.decide(decision{event: eventNotFound, flow: k.Flow, hop: h.Hop, agent: h.Start, version: b.Configured()}, now)
-	if mayLive || h.Flags.has(FlagUnsure) || !b.settled || h.Hop == 0 || k.Reset {
+	if k.Reset {
 		return
 	}
+	if mayLive || h.Flags.has(FlagUnsure) || !b.settled || h.Hop == 0 {
+		b.keep(m, k.Flow, now)
+		return
+	}
+	b.flows.remove(k.Flow)
 	b.Count.Cut++
 	b.Log.decide(decision{event: eventCut, flow: k.Flow, reason: ReasonNotFound, hop: h.Hop, version: b.Configured()}, now)
 	b.reset(k.Flow, k.Number)
