Take a balancer that is cut off out of the rotation, and refuse openings there at once

Change: a balancer that hears no agent of a service and fewer than half of the other balancers is not ready, and refuses openings of that service. The first form, which wanted to hear nobody at all, changed nothing: those cut off together hear each other. The second, which wanted no agent at all, changed little: VMs that were born during the cut reached it.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -35,17 +35,18 @@
 	// Behind is called when another process has a newer configuration.
 	Behind func(from IP, v Version)
 
-	config   *Configuration
-	former   map[Endpoint][]ServiceKey
-	out      map[ZoneKey]bool
-	revision uint64
-	leaving  bool
-	settled  bool // the records were read in this life
-	agents   agents
-	peers    map[IP]*peerView
-	shown    int // peers shown to others so far
-	flows    table[place]
-	openings openings
+	config       *Configuration
+	former       map[Endpoint][]ServiceKey
+	out          map[ZoneKey]bool
+	revision     uint64
+	leaving      bool
+	settled      bool          // the records were read in this life
+	atWork, woke time.Duration // when this process last did something, and when after a pause
+	agents       agents
+	peers        map[IP]*peerView
+	shown        int // peers shown to others so far
+	flows        table[place]
+	openings     openings
 	// unproved are packets whose walks proved nothing, looked at at walkedAgain.
 	unproved    []*unproved
 	walkedAgain time.Duration
@@ -154,10 +155,13 @@
 }
 
 // Ready reports whether the balancer can serve callers.
-func (b *Balancer) Ready() bool { return !b.leaving && b.config != nil && len(b.agents.byIP) > 0 }
+func (b *Balancer) Ready(now time.Duration) bool {
+	return !b.leaving && b.config != nil && len(b.agents.byIP) > 0 && !b.cutOffFromAny(now)
+}
 
 // HandleCaller takes the datagram at m[HeaderLen:] that a caller sent.
 func (b *Balancer) HandleCaller(m []byte, now time.Duration) {
+	b.noticePause(now)
 	p, ok := b.Format.Parse(m[HeaderLen:])
 	if !ok || p.Bounced {
 		b.Count.BadPackets++
@@ -202,6 +206,7 @@
 		b.Count.BadMessages++
 		return
 	}
+	b.noticePause(now)
 	switch h.Kind {
 	case KindAgent:
 		b.hearAgent(from, p, now)
@@ -224,6 +229,7 @@
 
 // Tick does what is due and returns when it wants to be called again.
 func (b *Balancer) Tick(now time.Duration) time.Duration {
+	b.noticePause(now)
 	b.retry(now)
 	b.walkAgain(now)
 	b.flows.tick(now)
--- /dev/null
+++ b/datagram/cutoff_test.go
@@ -0,0 +1,88 @@
+package datagram_test
+
+import (
+	"testing"
+	"time"
+
+	"pomeloway.example/pomeloway/datagram"
+)
+
+// Two balancers are cut off from all VMs but each other; callers and routers reach
+// them still. They went on saying that they were ready, and what callers sent there
+// was lost until the cut healed. From the second second on they are served elsewhere.
+func TestBalancerThatIsCutOffLeaves(t *testing.T) {
+	for seed := range uint64(5) {
+		w := site(t, seed, 6, 7, 200)
+		v, o := w.balancersInOrder()[0], w.balancersInOrder()[1]
+		w.cut = map[datagram.IP]bool{v.ip: true, o.ip: true}
+		w.run(w.now + 1900*time.Millisecond) // 0.85 s, and the deadlines of what was lost
+		failed := w.failed
+		w.run(w.now + 4*time.Second)
+		w.check()
+		if n := w.failed - failed; n > 0 {
+			t.Errorf("seed %d: %d requests failed after that", seed, n)
+		}
+		w.cut = nil
+		w.run(w.now + time.Second)
+		if !v.b.Ready(w.now - v.since) {
+			t.Errorf("seed %d: it is not ready after the cut", seed)
+		}
+	}
+}
+
+// All VMs of a service's upstreams lose power at once, and no balancer is cut off.
+// Openings wait for them: refused at once, callers would spend their retries in some
+// milliseconds, and fail, though the service is back in a second.
+func TestServiceThatDiedIsNoCut(t *testing.T) {
+	w := site(t, 1, 4, 3, 60)
+	for _, v := range w.agentsInOrder() {
+		v.stop()
+		v.u.crash()
+	}
+	w.run(w.now + 2*time.Second)
+	for _, v := range w.balancersInOrder() {
+		if s := v.b.Status(w.now - v.since); !s.Ready || s.Counts.Resets > 0 {
+			t.Errorf("balancer %v: ready %t, %d resets", v.ip, s.Ready, s.Counts.Resets)
+		}
+	}
+}
+
+// Routers take a second and more to believe that a balancer is not ready. An opening
+// that comes to one that is cut off is refused at once, so that its caller can try
+// another, but only if no agent was given it: what one may have taken is left alone.
+func TestBalancerThatIsCutOffRefusesOpenings(t *testing.T) {
+	for name, x := range map[string]struct {
+		before bool // the opening came first when the balancer was not cut off
+		paused bool // the balancer stood still and was not cut off
+		resets int
+	}{
+		"new":                   {false, false, 1},
+		"given to an agent":     {true, false, 0},
+		"this balancer's pause": {false, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := site(t, 1, 4, 7, 0)
+			v := w.balancersInOrder()[0]
+			c := datagram.Endpoint{IP: 0x64400099, Port: 1024}
+			open := func() {
+				v.b.HandleCaller(withRoom(packet(c, worldAddress, flagOpen, 7, 0, "")), w.now-v.since)
+			}
+			if x.before {
+				v.w.cut = map[datagram.IP]bool{v.ip: true}
+				open()
+			}
+			if x.paused {
+				v.stop()
+				w.now += 2 * time.Second
+			} else {
+				w.cut = map[datagram.IP]bool{v.ip: true}
+				w.run(w.now + 1200*time.Millisecond)
+			}
+			resets := v.b.Status(w.now - v.since).Counts.Resets
+			open()
+			if n := v.b.Status(w.now-v.since).Counts.Resets - resets; int(n) != x.resets {
+				t.Errorf("%d resets", n)
+			}
+		})
+	}
+}
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -161,12 +161,13 @@
 	ReasonNotFound
 	ReasonSilent
 	ReasonGone
+	ReasonCutOff
 	reasonEnd
 )
 
 var reasonNames = [reasonEnd]string{
 	"", "wrongService", "upstreamUnknown", "draining", "zoneOut", "cold", "full", "busy",
-	"noRoute", "noAgent", "notFound", "noAnswer", "upstreamGone",
+	"noRoute", "noAgent", "notFound", "noAnswer", "upstreamGone", "cutOff",
 }
 
 // String returns the reason as it stands in the log.
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -139,6 +139,10 @@
 		b.refuse(p.Flow, p.Seq, ReasonNoRoute, now)
 		return
 	}
+	if b.cutOff(s, now) {
+		b.refuse(p.Flow, p.Seq, ReasonCutOff, now)
+		return
+	}
 	o := b.openings.add()
 	o.flow, o.service, o.started, o.urgent = p.Flow, s, now, r.Urgent
 	if n := len(m) - HeaderLen; n <= openingBytes {
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -39,7 +39,7 @@
 
 // heard returns this balancer and those that it has heard lately.
 func (b *Balancer) heard(now time.Duration) []IP {
-	after := silentStatuses*max(farEvery(len(b.peers)), LargeEvery) + silentDelay
+	after := b.peerSilentAfter()
 	ips := []IP{b.Self}
 	for ip, p := range b.peers {
 		if p.heard != 0 && now-p.heard < after {
--- a/datagram/world_test.go
+++ b/datagram/world_test.go
@@ -37,6 +37,7 @@
 	holders   map[datagram.Flow]*upstream
 	astray    map[datagram.Flow]*astray
 	loss      float64
+	cut       map[datagram.IP]bool // VMs that reach callers and each other only
 	placement datagram.Placement
 	busyAt    float64
 	busy      time.Duration // how long a busy VM may leave a message unread
@@ -165,6 +166,9 @@
 }
 
 func (w *world) hand(from, to datagram.IP, m []byte) {
+	if w.cut[from] != w.cut[to] {
+		return
+	}
 	if k := datagram.Kind(m[1]); w.heard != nil && k >= datagram.KindAgent {
 		w.heard[to] += len(m) + 28 // IP and UDP
 	}
@@ -301,7 +305,7 @@
 	var best *balancerVM
 	var top uint64
 	for _, v := range w.balancers {
-		if s := fleet.Mix(uint64(f.Caller.IP)<<16|uint64(f.Caller.Port), uint64(v.ip)); v.up && v.b.Ready() && (best == nil || s > top) {
+		if s := fleet.Mix(uint64(f.Caller.IP)<<16|uint64(f.Caller.Port), uint64(v.ip)); v.up && v.b.Ready(w.now-v.since) && (best == nil || s > top) {
 			best, top = v, s
 		}
 	}
