Let agents find out that their upstreams are gone, and end their flows

Cause: an upstream that crashes says nothing. Its agent went on giving it packets, and each caller waited for its deadline; those that were idle for that of their next request. Change: an agent that has a suspicion (an opening or a repeated request without any sign of life, a heartbeat 1.54 s late, none 0.15 s after its start, after a deregistration) has the upstream's address tried. A refused connection proves that nothing listens there: callers of all open flows are reset at once, openings are declined, the record goes with the agent, and balancers know that the agent holds no flow. An upstream that starts anew ends the former flows the same way, but for those of the last second, which may be its own. A newcomer is told again after 0.5 s whatever the fleet's size; the first form of the greeting counted on other words.

--- /dev/null
+++ b/datagram/absence.go
@@ -0,0 +1,100 @@
+package datagram
+
+import (
+	"math"
+	"time"
+)
+
+// An upstream that crashes says nothing, and its agent lives on. Callers of its flows
+// waited for their deadlines, and those that were idle for the deadline of their next
+// request. So an agent with a suspicion asks the VM whether anything listens at the
+// upstream's address: a refused connection is a proof, as a process that stands still
+// or is overloaded refuses none. Then every caller is told at once that its flow is
+// gone. Cost: a connection at each suspicion. Given up: the upstream's health endpoint,
+// which takes a slot and misleads.
+
+const (
+	// probeAfterStart gives an upstream that starts with its agent time to announce
+	// itself; it is mostly up 50 ms before it.
+	probeAfterStart = 150 * time.Millisecond
+	// overdueAfter is two heartbeats of 770 ms.
+	overdueAfter = 1540 * time.Millisecond
+	// muteAfter is how long an upstream sends nothing before a caller's repeated packet
+	// is a suspicion: callers repeat themselves after 200 ms.
+	muteAfter = 100 * time.Millisecond
+	// probeEvery spaces the probes while the suspicion lasts.
+	probeEvery = 250 * time.Millisecond
+)
+
+// suspicious reports whether the upstream may have ended without a word.
+func (a *Agent) suspicious(now time.Duration) bool {
+	u := &a.upstream
+	switch u.state {
+	case UpstreamUnknown:
+		return !u.answers && now > probeAfterStart
+	case UpstreamGone:
+		return true
+	case UpstreamAbsent:
+		return false
+	}
+	return u.mute || u.silent(now) || now-u.announced > overdueAfter
+}
+
+// probe has the upstream's address tried if there is a suspicion.
+func (a *Agent) probe(now time.Duration) {
+	if a.Probe == nil || a.probing || a.probed != 0 && now-a.probed < probeEvery || !a.suspicious(now) {
+		return
+	}
+	a.probing, a.probed = true, now
+	a.Probe()
+}
+
+// probeDue returns when what the upstream leaves unanswered is a suspicion.
+func (a *Agent) probeDue() time.Duration {
+	u := &a.upstream
+	switch {
+	case a.Probe == nil || a.probing || u.state == UpstreamAbsent:
+		return math.MaxInt64
+	case u.mute:
+		return a.probed + probeEvery
+	case u.gave != 0:
+		return max(u.gave+silentUpstreamAfter+time.Millisecond, a.probed+probeEvery)
+	}
+	return math.MaxInt64
+}
+
+// Probed takes in what came of a probe: nothing listens at the upstream's address, or
+// something may.
+func (a *Agent) Probed(refused bool, now time.Duration) {
+	a.probing = false
+	if !refused || a.upstream.state == UpstreamAbsent {
+		return
+	}
+	a.endFlows(now, now)
+	// What starts there later has no flow that this agent does not know.
+	a.upstream.state, a.upstream.complete, a.upstream.gave = UpstreamAbsent, true, 0
+	a.Log.upstreamChanged(&a.upstream, false)
+	a.tell(now)
+}
+
+// endFlows tells the callers of flows that were opened before then that they are gone:
+// their upstream has ended, or started anew.
+func (a *Agent) endFlows(before, now time.Duration) {
+	for _, fs := range []map[Flow]*flowState{a.flows.young, a.flows.old} {
+		for k, f := range fs {
+			if f.since > before {
+				f.born = a.upstream.born // the upstream will say if it does not hold it
+				continue
+			}
+			if f.phase == flowOpen && !f.finished && f.number != 0 {
+				a.cut(k, f, f.number, now)
+			}
+			delete(fs, k)
+		}
+	}
+	a.recount(now)
+}
+
+// bornUnheard is how long an upstream may take flows before its announcement is
+// taken in: its tries are a second apart at the most.
+const bornUnheard = time.Second
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -34,6 +34,9 @@
 	// BusyAt is how many requests for each slot make the upstream busy, so that
 	// openings go elsewhere if they can; 0 means busyAt, less means never.
 	BusyAt float64
+	// Probe has the upstream's address tried, if not nil; Probed is called with what
+	// came of it. It must not wait.
+	Probe func()
 
 	upstream  upstream
 	balancers map[IP]*balancerView
@@ -47,6 +50,8 @@
 	underWay  int
 	coming    coming
 	counted   time.Duration
+	probing   bool
+	probed    time.Duration // when the last probe began; 0: never
 	pending   [pendingMost]pending
 	last      uint32
 	sequence  uint32
@@ -65,6 +70,7 @@
 type balancerView struct {
 	life        Life
 	heard, told time.Duration
+	greeted     bool // it was told last by a greeting
 }
 
 const (
@@ -109,7 +115,8 @@
 // greet tells a balancer that does not know the agent how it is. It is told again
 // within greetEvery, and by then how often it will be told from there on.
 func (a *Agent) greet(ip IP, now time.Duration) {
-	a.balancers[ip].told = now - farEvery(a.agents) + LargeEvery
+	b := a.balancers[ip]
+	b.told, b.greeted = now, true
 	a.Out.ToProcess(ip, a.statusMessage(now, greetEvery))
 }
 
@@ -126,7 +133,7 @@
 		return true
 	}
 	if reborn {
-		a.open, a.underWay = 0, 0
+		a.endFlows(now-bornUnheard, now)
 	}
 	if a.upstream.state != was || reborn {
 		a.Log.upstreamChanged(&a.upstream, reborn)
@@ -215,6 +222,7 @@
 // Tick does what is due and returns when it wants to be called again.
 func (a *Agent) Tick(now time.Duration) time.Duration {
 	a.flows.tick(now)
+	a.probe(now)
 	if now-a.counted >= recountEvery {
 		a.counted = now
 		a.recount(now)
@@ -228,7 +236,7 @@
 			}
 		}
 	}
-	return a.status + StatusEvery
+	return min(a.status+StatusEvery, a.probeDue())
 }
 
 // tell sends the agent's status to all balancers, as something changed.
@@ -250,8 +258,11 @@
 // send sends a message to the balancers for which it is meant and due.
 func (a *Agent) send(now, every time.Duration, m []byte, meant func(IP) bool) {
 	for ip, b := range a.balancers {
-		if meant(ip) && now-b.told >= every {
-			b.told = now
+		if !meant(ip) {
+			continue
+		}
+		if now-b.told >= every || b.greeted && now-b.told >= LargeEvery {
+			b.told, b.greeted = now, false
 			a.Out.ToProcess(ip, m)
 		}
 	}
--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -62,7 +62,7 @@
 func (a *agentView) class(now time.Duration, out map[ZoneKey]bool) class {
 	s := &a.status
 	switch {
-	case out[s.Zone], s.Leaving, s.State == UpstreamDraining, s.State == UpstreamGone:
+	case out[s.Zone], s.Leaving, s.State == UpstreamDraining, s.State == UpstreamGone, s.State == UpstreamAbsent:
 		return classNever
 	case a.missed >= doubtAfter, a.told != 0, s.State == UpstreamSilent:
 		return classDoubted
@@ -383,7 +383,7 @@
 func (a *agentView) mayLive(now time.Duration) bool {
 	s := &a.status
 	switch {
-	case s.State == UpstreamGone, s.State == UpstreamUnknown && s.Uptime.Duration() > announcedWithin:
+	case s.State == UpstreamGone, s.State == UpstreamAbsent, s.State == UpstreamUnknown && s.Uptime.Duration() > announcedWithin:
 		return false
 	case a.heard == 0 && a.told == 0:
 		return now < a.noted+unheardAfter
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -21,6 +21,8 @@
 	asked  time.Duration // when the request under way began
 	sent   bool          // the caller has sent data, up to upTo
 	upTo   uint32
+	// number is what the caller has acknowledged or is about to; a reset names it.
+	number uint32
 }
 
 type flowPhase uint8
@@ -75,7 +77,7 @@
 	case !known:
 		f = &flowState{phase: flowAsked, born: a.upstream.born, since: now}
 		a.flows.set(k.Flow, f)
-	case f.born != 0 && f.born != a.upstream.born:
+	case f.born != 0 && f.born != a.upstream.born, a.upstream.state == UpstreamAbsent:
 		a.lost(k, f, now)
 		return
 	case f.phase == flowOffered, f.phase == flowAccepted && k.Number-f.accepted-1 > chosenSpan:
@@ -91,6 +93,7 @@
 	if f.born == 0 {
 		f.born = a.upstream.born // it was not known yet when the flow was seen first
 	}
+	f.number = k.Number
 	if h.Hop > 0 || f.phase == flowAsked {
 		f.wanted, f.balancer = true, from
 	}
@@ -134,7 +137,8 @@
 // knowsAll reports whether a flow that the agent does not know is elsewhere, so
 // that no packet of it has to bounce off this upstream.
 func (a *Agent) knowsAll(now time.Duration) bool {
-	return a.upstream.complete || now > flowLife || a.upstream.state == UpstreamUnknown && !a.upstream.answers && now > announcedWithin
+	return a.upstream.complete || now > flowLife ||
+		a.upstream.state == UpstreamUnknown && !a.upstream.answers && now > announcedWithin
 }
 
 // announcedWithin is when an upstream that lives has been heard since its agent
@@ -152,7 +156,11 @@
 		a.ended(f)
 	}
 	end := k.Seq + uint32(k.Length)
-	if k.Length == 0 || f.phase != flowOpen || f.sent && int32(end-f.upTo) <= 0 {
+	if k.Length == 0 || f.phase != flowOpen {
+		return
+	}
+	if f.sent && int32(end-f.upTo) <= 0 {
+		a.upstream.mute = a.upstream.mute || now-a.upstream.sign > muteAfter
 		return
 	}
 	f.sent, f.upTo = true, end
@@ -214,10 +222,15 @@
 		a.Count.Dropped++
 		return
 	}
+	a.cut(k.Flow, f, k.Number, now)
+}
+
+// cut tells the flow's caller that the flow is gone.
+func (a *Agent) cut(k Flow, f *flowState, number uint32, now time.Duration) {
 	a.Count.Resets++
-	a.Log.decide(decision{event: eventCut, flow: k.Flow, reason: ReasonGone, version: a.version, age: now - f.since}, now)
-	n := a.Format.PutReset(a.scratch[:], k.Flow, k.Number)
-	a.Out.ToCaller(k.Flow.Caller.IP, a.scratch[:n])
+	a.Log.decide(decision{event: eventCut, flow: k, reason: ReasonGone, version: a.version, age: now - f.since}, now)
+	n := a.Format.PutReset(a.scratch[:], k, number)
+	a.Out.ToCaller(k.Caller.IP, a.scratch[:n])
 }
 
 // HandleUpstream takes a datagram of the upstream at m[HeaderLen:].
@@ -228,7 +241,8 @@
 		a.Count.BadPackets++
 		return
 	}
-	a.upstream.gave, a.upstream.answers = 0, true
+	u := &a.upstream
+	u.gave, u.answers, u.sign, u.mute = 0, true, now, false
 	if k.Bounced {
 		a.bounced(k, m, now)
 		return
@@ -237,7 +251,7 @@
 	f, known := a.flows.get(k.Flow)
 	switch {
 	case !known && !k.Reset:
-		f = &flowState{phase: flowOpen, born: a.upstream.born, since: now}
+		f = &flowState{phase: flowOpen, born: a.upstream.born, since: now, number: k.Seq + uint32(k.Length)}
 		a.flows.set(k.Flow, f)
 		a.open++
 	case known:
@@ -248,6 +262,7 @@
 
 // answered follows a flow by what its upstream sends.
 func (a *Agent) answered(k Packet, f *flowState, now time.Duration) {
+	f.number = k.Seq + uint32(k.Length)
 	switch {
 	case k.Reset:
 		f.finished = true
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -21,7 +21,7 @@
 		return ReasonZoneOut
 	case a.leaving, u.state == UpstreamDraining:
 		return ReasonDraining
-	case u.state == UpstreamGone:
+	case u.state == UpstreamGone, u.state == UpstreamAbsent:
 		return ReasonGone
 	case u.state == UpstreamUnknown:
 		return ReasonUnknown
--- a/datagram/log.go
+++ b/datagram/log.go
@@ -82,7 +82,7 @@
 		slog.Bool("leaving", s.Leaving), slog.Duration("cold", s.Cold.Duration()), slog.Uint64("life", uint64(s.Life)))
 }
 
-var upstreamStateNames = [upstreamStateEnd]string{"unknown", "ready", "draining", "gone", "silent"}
+var upstreamStateNames = [upstreamStateEnd]string{"unknown", "ready", "draining", "gone", "silent", "absent"}
 
 // String returns the state as it stands in the log.
 func (s UpstreamState) String() string {
--- a/datagram/status.go
+++ b/datagram/status.go
@@ -21,6 +21,8 @@
 	UpstreamGone
 	// UpstreamSilent: it did not answer openings that it was given.
 	UpstreamSilent
+	// UpstreamAbsent: nothing listens at its address.
+	UpstreamAbsent
 	upstreamStateEnd
 )
 
--- a/datagram/upstream.go
+++ b/datagram/upstream.go
@@ -27,8 +27,14 @@
 	sequence int64
 	slots    int
 	coldTill time.Duration
+	// announced is when it was heard of last.
+	announced time.Duration
 	// gave is when an opening was given that no sign of life followed; 0: none.
 	gave time.Duration
+	// sign is when a packet of it was seen last, and mute says that a caller repeated
+	// itself since.
+	sign time.Duration
+	mute bool
 	// answers: a packet of it was seen, announced or not.
 	answers bool
 	// complete: the agent knows every flow of this life.
@@ -57,6 +63,7 @@
 	}
 	// Flows come through the agent alone, and none before an announcement.
 	u.complete = u.complete || reborn || a.Sequence == 1 || a.bornUnder(now)
+	u.announced = now
 	u.id, u.born, u.sequence, u.slots = a.ID, a.Born, a.Sequence, a.Slots
 	switch {
 	case u.state == UpstreamDraining, u.state == UpstreamGone:
--- a/datagram/upstream_standin_test.go
+++ b/datagram/upstream_standin_test.go
@@ -18,6 +18,7 @@
 	ackedAt  time.Duration
 
 	startedAt time.Duration
+	late      time.Duration // before its first heartbeat
 	born      int64
 	sequence  int64
 	slots     int
@@ -39,7 +40,8 @@
 	u.startedAt, u.seen = u.w.now, map[datagram.Flow]uint32{}
 	u.born = int64(u.w.now/time.Millisecond) + 1
 	u.flows = map[datagram.Flow]*held{}
-	u.beat(u.born)
+	born := u.born
+	u.w.after(u.late, func() { u.beat(born) })
 }
 
 func (u *upstream) crash() {
--- a/datagram/world_test.go
+++ b/datagram/world_test.go
@@ -37,6 +37,7 @@
 	holders   map[datagram.Flow]*upstream
 	astray    map[datagram.Flow]*astray
 	loss      float64
+	mute      map[datagram.IP]bool // VMs that no balancer hears
 	cut       map[datagram.IP]bool // VMs that reach callers and each other only
 	placement datagram.Placement
 	busyAt    float64
@@ -166,7 +167,7 @@
 }
 
 func (w *world) hand(from, to datagram.IP, m []byte) {
-	if w.cut[from] != w.cut[to] {
+	if w.cut[from] != w.cut[to] || w.mute[from] {
 		return
 	}
 	if k := datagram.Kind(m[1]); w.heard != nil && k >= datagram.KindAgent {
@@ -175,7 +176,7 @@
 	w.deliver(from, to, m, func(c []byte) {
 		if a := w.agents[to]; a != nil && a.up {
 			a.a.HandleMessage(from, c, w.now-a.since)
-			a.arm()
+			a.a.Tick(w.now - a.since) // as the program does after each datagram
 		}
 		if b := w.balancers[to]; b != nil && b.up {
 			b.b.HandleMessage(from, c, w.now-b.since)
@@ -282,22 +283,29 @@
 	w := v.w
 	v.up, v.since, v.life = true, w.now, v.life+1
 	v.a = &datagram.Agent{Life: w.newLife(), Service: worldKey, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.Packets{}, Out: v, Keys: w.keys, BusyAt: w.busyAt}
+	life := v.life
+	v.a.Probe = func() {
+		w.after(time.Millisecond, func() {
+			if v.life == life {
+				v.a.Probed(!v.u.alive, w.now-v.since)
+			}
+		})
+	}
 	v.a.Start()
 	if b := w.balancersInOrder(); len(b) > 0 {
 		v.a.Meet(b[0].ip, 0) // one seed is enough
 	}
-	v.arm()
 }
 
 func (v *agentVM) stop() { v.up, v.life = false, v.life+1 }
 
-func (v *agentVM) arm() {}
-
 func (v *agentVM) tick() {
+	d := datagram.StatusEvery
 	if v.up {
-		v.a.Tick(v.w.now - v.since)
+		now := v.w.now - v.since
+		d = min(d, max(time.Millisecond, v.a.Tick(now)-now))
 	}
-	v.w.after(datagram.StatusEvery, v.tick)
+	v.w.after(d, v.tick)
 }
 
 // route returns the balancer that the router sends the flow to, or nil.
--- a/node/agent.go
+++ b/node/agent.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -46,6 +48,7 @@
 		Life: b.life, Service: datagram.ServiceKeyOf(b.settings.Service), Zone: datagram.ZoneKeyOf(b.settings.Zone),
 		Format: platform.Packets{}, Out: a, Keys: b.keys, Log: &datagram.Log{Log: b.log, Most: o.Lines}, Observe: b.observe,
 	}
+	a.agent.Probe = func() { go a.probe() }
 	a.agent.Start()
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a, nil
@@ -92,6 +95,21 @@
 	a.log.Add(events.AnnouncementRefused, slog.String("error", err.Error()))
 }
 
+// probeTimeout bounds a try of the upstream's address on the same VM. A refusal comes
+// at once; one that takes no connection proves nothing.
+const probeTimeout = 100 * time.Millisecond
+
+// probe finds out whether anything listens where the upstream should.
+func (a *Agent) probe() {
+	d := net.Dialer{Timeout: probeTimeout}
+	c, err := d.DialContext(a.ctx, "tcp4", a.settings.Upstream.String())
+	if err == nil {
+		c.Close()
+	}
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	a.loop.do(a.ctx, func(now time.Duration) { a.agent.Probed(refused, now) })
+}
+
 // leaveDelay lets balancers hear that the agent stops before it does.
 const leaveDelay = 50 * time.Millisecond
 
@@ -143,7 +161,7 @@
 	a.log.Add(events.Draining)
 	var s datagram.UpstreamState
 	a.loop.do(a.ctx, func(now time.Duration) { s = a.agent.State(); a.agent.Leave(now) })
-	if s == datagram.UpstreamGone {
+	if s == datagram.UpstreamGone || s == datagram.UpstreamAbsent {
 		ctx, stop := context.WithTimeout(a.ctx, a.live.Load().Grace/2)
 		defer stop()
 		a.store.remove(ctx, a.recordName(), a.record())
