Look for remembered flows whose agents are not heard, when callers repeat themselves

Balancers that remembered a flow sent its packets to the dead agent and nowhere else, so no walk ever proved that it was gone. Change: a balancer keeps the sequence number of a caller's last data. An agent that is only not heard, as packets pass one way alone, answers its callers, who do not repeat themselves. The benchmark's packets came to an agent that was silent for a second; they now come while it is heard.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -64,7 +64,8 @@
 type place struct {
 	agent   IP     // 0: not known
 	opening uint32 // 0: it is open
-	looked  time.Duration
+	looked  Millis // when the search for it began
+	sent    uint32 // the sequence number of the caller's data that came last
 }
 
 const (
@@ -172,19 +173,21 @@
 		return
 	}
 	b.Count.Packets++
-	if ip := b.place(p.Flow); ip != 0 {
+	at, _ := b.flows.get(p.Flow)
+	if ip := b.agentAt(at); ip != 0 {
 		b.send(m, Message{Kind: KindPacket, Start: ip}, ip)
-		return
+		if !b.unanswered(p, at, ip, now) {
+			return
+		}
 	}
 	b.look(m, p, now)
 }
 
-// place returns the agent that the flow is remembered at, or that is being asked
-// to open it: a caller's first packet can overtake the agent's word that the
-// flow is open. It is 0 if the flow is not remembered.
-func (b *Balancer) place(f Flow) IP {
-	at, ok := b.flows.get(f)
-	if !ok || at.opening == 0 {
+// agentAt returns the agent that a flow is remembered at, or that is being asked to
+// open it: a caller's first packet can overtake the agent's word that the flow is
+// open. It is 0 if there is none.
+func (b *Balancer) agentAt(at place) IP {
+	if at.opening == 0 {
 		return at.agent
 	}
 	if o := b.openings.get(at.opening); o != nil {
--- a/datagram/bench_test.go
+++ b/datagram/bench_test.go
@@ -16,6 +16,9 @@
 func (q *quiet) ToCaller(IP, []byte)  { q.n++ }
 func (q *quiet) ToUpstream([]byte)    { q.n++ }
 
+// heardAt is when the benchmarks' packets come, while all agents are heard.
+const heardAt = 1500 * time.Millisecond
+
 func benchBalancer(tb testing.TB, ks link.Keys) (*Balancer, []byte) {
 	b := &Balancer{Format: plain{}, Out: &quiet{}, Keys: ks}
 	b.Start()
@@ -48,7 +51,7 @@
 	a, in := benchAgent(ks)
 	out := append(plainPacket(plainData, 9), 0)
 	for name, f := range map[string]func(){
-		"balancer":      func() { b.HandleCaller(m, 2*time.Second) },
+		"balancer":      func() { b.HandleCaller(m, heardAt) },
 		"agent inward":  func() { a.HandleMessage(1, in, 2*time.Second) },
 		"agent outward": func() { a.HandleUpstream(out, 2*time.Second) },
 	} {
@@ -65,7 +68,7 @@
 	x, m := benchBalancer(b, ks)
 	a, in := benchAgent(ks)
 	for name, f := range map[string]func(){
-		"balancer": func() { x.HandleCaller(m, 2*time.Second) },
+		"balancer": func() { x.HandleCaller(m, heardAt) },
 		"agent":    func() { a.HandleMessage(1, in, 2*time.Second) },
 	} {
 		b.Run(name, func(b *testing.B) {
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -22,14 +22,33 @@
 	at, ok := b.flows.get(p.Flow)
 	switch {
 	case !ok:
-		b.flows.set(p.Flow, place{looked: now})
-	case at.opening == 0 && now-at.looked > walkWithin:
-		b.flows.set(p.Flow, place{looked: now})
+		b.flows.set(p.Flow, place{looked: MillisOf(now)})
+	case at.opening == 0 && now-at.looked.Duration() > walkWithin:
+		b.flows.set(p.Flow, place{looked: MillisOf(now)})
 		b.search(m, p.Flow)
 	}
 	b.walk(m, p, Message{Kind: KindPacket}, 0, now)
 }
 
+// unanswered reports whether the caller repeats itself on a flow whose agent is not
+// heard, so that the flow is to be looked for.
+//
+// Packets to the agent of a VM that died were lost, the whole request long. An agent
+// that is only not heard, as packets pass one way alone, still serves its flows: their
+// callers go on, and do not repeat themselves.
+func (b *Balancer) unanswered(p Packet, at place, ip IP, now time.Duration) bool {
+	if p.Length == 0 {
+		return false
+	}
+	if at.sent != p.Seq {
+		at.sent = p.Seq
+		b.flows.set(p.Flow, at)
+		return false
+	}
+	a := b.agents.byIP[ip]
+	return a == nil || !a.reachable(now)
+}
+
 // search sends the packet to all agents that may hold its flow. While a zone is
 // out, only to those that know it: the holder may be one that drops it, and the
 // packet must not be put before foreign upstreams.
--- a/datagram/search_test.go
+++ b/datagram/search_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pomeloway.example/pomeloway/datagram"
 )
 
 // killAll ends every process; upstreams live on, and processes are back after d.
@@ -78,3 +80,40 @@
 		}
 	}
 }
+
+// A VM dies for good with its upstream, and balancers remember its flows: they sent
+// packets there and nowhere else, and each caller waited for its deadline, here 3 s as
+// at the ordering desk. Callers are told once nobody can hold the flow, and are served
+// elsewhere before that.
+func TestRememberedFlowsOfADeadVMEndInTime(t *testing.T) {
+	for seed := range uint64(10) {
+		w := site(t, seed, 4, 7, 200)
+		for _, c := range w.callers {
+			c.deadline = 3 * time.Second
+		}
+		w.run(w.now + 3*time.Second)
+		v := w.agentsInOrder()[seed%7]
+		v.stop()
+		v.u.crash()
+		w.run(w.now + 8*time.Second)
+		w.check()
+		if w.failed > 0 {
+			t.Errorf("seed %d: %d of %d requests failed", seed, w.failed, w.answered+w.failed)
+		}
+	}
+}
+
+// Packets pass one way only, so a balancer does not hear an agent whose flows work.
+// None of them may be cut, however long that lasts.
+func TestFlowsOfAnAgentThatIsNotHeardGoOn(t *testing.T) {
+	for seed := range uint64(5) {
+		w := site(t, seed, 4, 7, 150)
+		v := w.agentsInOrder()[seed%7]
+		w.mute = map[datagram.IP]bool{v.ip: true}
+		w.run(w.now + 8*time.Second)
+		w.check()
+		if w.failed > 0 {
+			t.Errorf("seed %d: %d of %d requests failed", seed, w.failed, w.answered+w.failed)
+		}
+	}
+}
--- a/datagram/unproved_test.go
+++ b/datagram/unproved_test.go
@@ -66,7 +66,7 @@
 	for port := range uint16(3 * unprovedMost) {
 		m := plainPacket(plainData, 100+port)
 		k, _ := plain{}.Parse(m[HeaderLen:])
-		b.flows.set(k.Flow, place{looked: now})
+		b.flows.set(k.Flow, place{looked: MillisOf(now)})
 		b.lastAsk(m, k, Message{Hop: 3, Flags: FlagUnsure}, []ServiceKey{7}, now)
 	}
 	if len(b.unproved) != unprovedMost {
