Serve those first who can still be in time, and ask busy agents seldom

With all lines of the log: openings that waited asked every agent every 40 ms, 11,000 askings a second for 600 places, as much as five balancers with a twelfth of a core can send (254 unanswered in 0.2 s); and those that could have been in time stood in one queue with those that could not. Change: an agent that declined is not asked again for 20 ms by openings that are held to the same limit or a lower one, and for 200 ms by one opening at a time; a refusal says how many requests there are. An opening that has waited for half of its route's aim, by the number of the caller's copy too, is taken up to one request a slot (1.5 if urgent) and not two or three, so it gets what is left over. It is never refused for that.

--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -44,7 +44,9 @@
 	toldStatus time.Duration // when this balancer told the agent its own status
 	work       int           // flows and requests there, by its latest word
 	asked      int           // openings that it has not answered yet
-	former     [4]Life
+	// declined is when it said that it is busy, by how pressing the opening was.
+	declined [pressingEnd]time.Duration
+	former   [4]Life
 }
 
 // class orders agents for openings; a lower one is tried first.
@@ -87,6 +89,35 @@
 	return float64(a.work+a.asked) / float64(max(a.status.Slots, 1))
 }
 
+// busyFor is how long an agent that declined an opening is not asked again with the
+// same limit or a lower one. An upstream of five slots ends a request each 6 to 16 ms.
+//
+// When all callers returned, each opening that waited asked every agent each 40 ms:
+// 11,000 askings a second for 600 places, more than balancers with a twelfth of a core
+// can send, and those that could have been in time waited with the rest.
+const busyFor = 20 * time.Millisecond
+
+// carefulFor is how long after that it is asked by one opening at a time: those that
+// wait do so in step, and would all ask before the first is declined.
+const carefulFor = 200 * time.Millisecond
+
+// busy reports whether the agent would decline an opening with the hop, as far as is
+// known.
+func (a *agentView) busy(hop uint8, now time.Duration) bool {
+	since := now - a.declined[hop]
+	return a.declined[hop] != 0 && (since < busyFor || since < carefulFor && a.asked > 0)
+}
+
+// decline notes that the agent declined an opening with the hop, with so many requests
+// there: it would decline all that are held to a limit that these reach.
+func (a *agentView) decline(hop uint8, requests int, now time.Duration) {
+	for h := range a.declined {
+		if uint8(h) == hop || limitOf(uint8(h))*float64(max(a.status.Slots, 1)) <= float64(requests) {
+			a.declined[h] = now
+		}
+	}
+}
+
 // answered takes in the load that comes with an answer to an opening, as statuses
 // are up to 250 ms old when many callers open at once.
 func (a *agentView) answered(load uint16) {
@@ -204,7 +235,10 @@
 
 // choose returns the agent for an opening: of the best class, the less loaded of
 // the two that the hash ranks first, and rather one of the own availability zone.
-func (x *agents) choose(hash uint64, s ServiceKey, tried []IP, now time.Duration) (*agentView, class) {
+//
+// An agent that would decline an opening with the hop is left out; busy says whether
+// there was one.
+func (x *agents) choose(hash uint64, s ServiceKey, tried []IP, hop uint8, now time.Duration) (_ *agentView, _ class, busy bool) {
 	var all, near pair
 	best := classNever
 	for _, a := range x.byService[s] {
@@ -212,6 +246,10 @@
 		if c > best || c == classNever || contains(tried, a.ip) {
 			continue
 		}
+		if a.busy(hop, now) {
+			busy = true
+			continue
+		}
 		if c < best {
 			best, all, near = c, pair{}, pair{}
 		}
@@ -222,13 +260,13 @@
 		}
 	}
 	if x.placement == PlaceByHash {
-		return all.first.agent, best
+		return all.first.agent, best, busy
 	}
 	a, n := all.idler(), near.idler()
 	if n != nil && n.nearEnough(a) {
-		return n, best
+		return n, best, busy
 	}
-	return a, best
+	return a, best, busy
 }
 
 // nearEnough reports whether the agent, of the own availability zone, is taken
--- a/datagram/config.go
+++ b/datagram/config.go
@@ -33,6 +33,8 @@
 	Shares []Share
 	// Urgent: its requests go before those of another route of the same service.
 	Urgent bool
+	// Aim is within what its requests are to be answered; 0 if it has none.
+	Aim time.Duration
 }
 
 // Service is what the configuration says of a service.
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -46,6 +46,12 @@
 	// 215 tries; with 2 and 3 it was 0.85 and none.
 	fullAt       = 2
 	fullAtUrgent = 3
+	// lateAt and lateAtUrgent are the same for openings that will be late anyway. They
+	// are served with what is left over by those that can still be in time: when
+	// everybody returns at once, a queue in the order of arrival makes all of them
+	// late, for as long as the queue lasts.
+	lateAt       = 1
+	lateAtUrgent = 1.5
 )
 
 // How pressing an opening is, in its hop.
@@ -54,8 +60,28 @@
 	pressing uint8 = 1 + iota
 	// pressingUrgent: and its route goes before others of the service.
 	pressingUrgent
+	// pressingLate, pressingLateUrgent: it has waited too long to be in time.
+	pressingLate
+	pressingLateUrgent
+	pressingEnd
 )
 
+// limitOf returns the requests for each slot from which on an opening with the hop is
+// declined.
+func limitOf(hop uint8) float64 {
+	switch hop {
+	case 0:
+		return busyAt
+	case pressing:
+		return fullAt
+	case pressingLate:
+		return lateAt
+	case pressingLateUrgent:
+		return lateAtUrgent
+	}
+	return fullAtUrgent
+}
+
 // work is the requests that the upstream has, or will have in a moment.
 func (a *Agent) work(now time.Duration) int { return a.underWay + a.coming.count(now) }
 
@@ -72,15 +98,9 @@
 // behind 20 others while others idled. Only the agent knows it in time, as
 // statuses are up to 250 ms old.
 func (a *Agent) busy(h Message, now time.Duration) bool {
-	limit := a.BusyAt
-	if limit == 0 {
-		limit = busyAt
-	}
-	switch {
-	case h.Hop == pressing:
-		limit = fullAt
-	case h.Hop >= pressingUrgent:
-		limit = fullAtUrgent
+	limit := limitOf(h.Hop)
+	if h.Hop == 0 && a.BusyAt != 0 {
+		limit = a.BusyAt
 	}
 	return limit > 0 && float64(a.work(now)) >= limit*float64(max(a.upstream.slots, 1))
 }
@@ -149,7 +169,7 @@
 func (a *Agent) decline(to IP, h Message, f Flow, r Reason, now time.Duration) {
 	a.Count.Declined++
 	a.Log.decide(decision{event: eventDeclined, flow: f, agent: to, reason: r, version: a.version}, now)
-	a.hint(to, Message{Kind: KindRefused, Reason: r, Opening: h.Opening, Service: a.Service, Load: a.load(now)}, f)
+	a.hint(to, Message{Kind: KindRefused, Reason: r, Hop: uint8(min(a.work(now), math.MaxUint8)), Opening: h.Opening, Service: a.Service, Load: a.load(now)}, f)
 }
 
 // hint sends a balancer a message about a flow.
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -40,7 +40,7 @@
 	Kind   Kind
 	Reason Reason
 	// Hop counts the agents that a walk has asked for the flow. In an opening it
-	// says how pressing it is.
+	// says how pressing it is, in a refusal how many requests the upstream has.
 	Hop uint8
 	// Flags say what a walk has met.
 	Flags Flags
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -43,9 +43,12 @@
 	silent   bool // an agent that was asked did not answer, so it may still run
 	idlest   IP   // the least busy of the agents that were busy, with its requests
 	requests uint16
-	forced   bool // the idlest was told to take it
-	waits    bool // all were busy; it is tried again at the deadline
+	busy     bool  // some agent was busy, and will have room
+	hop      uint8 // how pressing it was when it was sent
+	forced   bool  // the idlest was told to take it
+	waits    bool  // all were busy; it is tried again at the deadline
 	urgent   bool
+	aim      time.Duration
 	packet   [HeaderLen + openingBytes]byte
 	length   int
 	service  ServiceKey
@@ -144,7 +147,7 @@
 		return
 	}
 	o := b.openings.add()
-	o.flow, o.service, o.started, o.urgent = p.Flow, s, now, r.Urgent
+	o.flow, o.service, o.started, o.urgent, o.aim = p.Flow, s, now-copyAge(p.Number), r.Urgent, r.Aim
 	if n := len(m) - HeaderLen; n <= openingBytes {
 		o.length = copy(o.packet[HeaderLen:], m[HeaderLen:])
 	}
@@ -157,49 +160,90 @@
 	if o.deadline != 0 {
 		return // an agent is being asked
 	}
-	o.asked, o.idlest, o.forced = 0, 0, false
+	o.asked, o.idlest, o.busy, o.forced = 0, 0, false, false
 	b.try(o, now)
 }
 
 // room tries an opening again that found all agents full, at the idlest of them.
 func (b *Balancer) room(o *opening, now time.Duration) {
 	o.waits = false
-	a, c := b.agents.choose(o.flow.hash(), o.service, nil, now)
-	if a == nil || now-o.started > openingLife {
+	hop := o.press(now)
+	a, c, busy := b.agents.choose(o.flow.hash(), o.service, nil, hop, now)
+	switch {
+	case now-o.started > openingLife, a == nil && !busy:
 		o.deadline = 0
-		return
+	case a == nil:
+		b.waitForRoom(o, now)
+	default:
+		o.forced = true
+		b.ask(o, a, c, hop, now)
 	}
-	o.forced = true
-	b.ask(o, a, c, o.press(), now)
 }
 
-func (o *opening) press() uint8 {
-	if o.urgent {
+// copyAge is how long before a caller's copy of an opening the first was sent.
+func copyAge(n uint32) time.Duration {
+	switch n {
+	case 0:
+		return 0
+	case 1:
+		return 200 * time.Millisecond
+	}
+	return 600 * time.Millisecond
+}
+
+// press says how pressing an opening is that every agent declined.
+func (o *opening) press(now time.Duration) uint8 {
+	switch {
+	case o.late(now) && o.urgent:
+		return pressingLateUrgent
+	case o.late(now):
+		return pressingLate
+	case o.urgent:
 		return pressingUrgent
 	}
 	return pressing
 }
 
+// late reports whether the opening has waited for so long that its request can't be
+// answered within its aim: an upstream with two requests a slot takes twice a
+// request's work, which is nearly half of the aims of today's routes.
+func (o *opening) late(now time.Duration) bool {
+	return o.aim > 0 && now-o.started > o.aim/2
+}
+
 // try sends the opening to the next agent.
 func (b *Balancer) try(o *opening, now time.Duration) {
 	var a *agentView
 	var c class
+	var busy bool
+	var hop uint8
+	if o.late(now) {
+		hop = o.press(now)
+	}
 	if o.asked < triedMost && !o.forced {
-		a, c = b.agents.choose(o.flow.hash(), o.service, o.tried[:o.asked], now)
+		a, c, busy = b.agents.choose(o.flow.hash(), o.service, o.tried[:o.asked], hop, now)
 	}
 	switch {
 	case a != nil:
 		o.tried[o.asked] = a.ip
 		o.asked++
-		b.ask(o, a, c, 0, now)
-	case o.idlest != 0 && !o.forced && b.agents.byIP[o.idlest] != nil:
+		b.ask(o, a, c, hop, now)
+	case busy && o.idlest == 0:
+		b.waitForRoom(o, now)
+	case o.pressable(b, now):
 		o.forced = true
-		b.ask(o, b.agents.byIP[o.idlest], classReady, o.press(), now)
+		b.ask(o, b.agents.byIP[o.idlest], classReady, o.press(now), now)
 	default:
 		b.exhausted(o, now)
 	}
 }
 
+// pressable reports whether the idlest agent may take the opening if it is pressed.
+func (o *opening) pressable(b *Balancer, now time.Duration) bool {
+	a := b.agents.byIP[o.idlest]
+	return a != nil && !o.forced && !a.busy(o.press(now), now)
+}
+
 // ask gives the opening to the agent; the hop says how pressing it is.
 func (b *Balancer) ask(o *opening, a *agentView, c class, hop uint8, now time.Duration) {
 	o.agent = a.ip
@@ -207,6 +251,7 @@
 	b.Log.decide(decision{
 		event: eventPlaced, flow: o.flow, agent: a.ip, hop: uint8(o.asked), version: b.Configured(), class: c, age: now - a.heard,
 	}, now)
+	o.hop = hop
 	b.send(o.packet[:HeaderLen+o.length], Message{Kind: KindOpening, Hop: hop, Opening: o.id, Service: o.service, Start: a.ip, Cold: b.cold(o.service)}, a.ip)
 	b.openings.wait(o, now)
 }
@@ -218,9 +263,8 @@
 // caller's own copy starts the next round.
 func (b *Balancer) exhausted(o *opening, now time.Duration) {
 	o.deadline = 0
-	if o.idlest != 0 && now-o.started < openingLife-roomAfter {
-		o.waits = true
-		b.openings.wake(o, now+roomAfter)
+	if o.busy && now-o.started < openingLife-roomAfter {
+		b.waitForRoom(o, now)
 		return
 	}
 	if o.asked == 0 {
@@ -235,6 +279,12 @@
 	b.drop(o)
 }
 
+// waitForRoom lets the opening wait until some upstream may have room.
+func (b *Balancer) waitForRoom(o *opening, now time.Duration) {
+	o.waits, o.busy = true, true
+	b.openings.wake(o, now+roomAfter)
+}
+
 func (b *Balancer) drop(o *opening) {
 	b.flows.remove(o.flow)
 	*o = opening{}
@@ -284,7 +334,10 @@
 	case ReasonUnknown, ReasonSilent:
 		o.silent = true // its upstream may still answer, or be known in a moment
 	case ReasonBusy:
-		o.silent = true // it will have room before the caller gives up
+		o.silent, o.busy = true, true // it will have room before the caller gives up
+		if a := b.agents.byIP[from]; a != nil {
+			a.decline(o.hop, int(h.Hop), now)
+		}
 		if o.idlest == 0 || h.Load < o.requests {
 			o.idlest, o.requests = from, h.Load
 		}
