Give openings to upstreams that listen before their next heartbeat

Change: an agent tries its upstream's address at its start. If something accepts the connection, and it knows whether its zone is out, it takes openings, for an upstream held for cold and with four slots; balancers ask those that are heard before.

--- a/datagram/absence.go
+++ b/datagram/absence.go
@@ -14,9 +14,6 @@
 // which takes a slot and misleads.
 
 const (
-	// probeAfterStart gives an upstream that starts with its agent time to announce
-	// itself; it is mostly up 50 ms before it.
-	probeAfterStart = 150 * time.Millisecond
 	// overdueAfter is two heartbeats of 770 ms.
 	overdueAfter = 1540 * time.Millisecond
 	// muteAfter is how long an upstream sends nothing before a caller's repeated packet
@@ -31,7 +28,7 @@
 	u := &a.upstream
 	switch u.state {
 	case UpstreamUnknown:
-		return !u.answers && now > probeAfterStart
+		return !u.answers && !u.listens
 	case UpstreamGone:
 		return true
 	case UpstreamAbsent:
@@ -63,11 +60,24 @@
 	return math.MaxInt64
 }
 
-// Probed takes in what came of a probe: nothing listens at the upstream's address, or
-// something may.
-func (a *Agent) Probed(refused bool, now time.Duration) {
+// Probe is what came of trying the upstream's address.
+type Probe uint8
+
+// Outcomes of a probe.
+const (
+	// ProbeUnanswered proves nothing.
+	ProbeUnanswered Probe = iota
+	// ProbeRefused: nothing listens there.
+	ProbeRefused
+	// ProbeAccepted: an upstream is there, as far as its VM's kernel can tell.
+	ProbeAccepted
+)
+
+// Probed takes in what came of a probe.
+func (a *Agent) Probed(p Probe, now time.Duration) {
 	a.probing = false
-	if !refused || a.upstream.state == UpstreamAbsent {
+	a.upstream.listens = p == ProbeAccepted
+	if p != ProbeRefused || a.upstream.state == UpstreamAbsent {
 		return
 	}
 	a.endFlows(now, now)
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -34,8 +34,8 @@
 	// BusyAt is how many requests for each slot make the upstream busy, so that
 	// openings go elsewhere if they can; 0 means busyAt, less means never.
 	BusyAt float64
-	// Probe has the upstream's address tried, if not nil; Probed is called with what
-	// came of it. It must not wait.
+	// Probe, if not nil, has the upstream's address tried; Probed is called with
+	// what came of it. It must not wait.
 	Probe func()
 
 	upstream  upstream
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -73,9 +73,24 @@
 		"ready":                  {func(a *Agent) { a.Announce(&ready, now) }, Message{Service: 7}, ReasonNone},
 		"other service":          {func(a *Agent) { a.Announce(&ready, now) }, Message{Service: 8}, ReasonService},
 		"upstream not heard yet": {func(*Agent) {}, Message{Service: 7}, ReasonUnknown},
-		"draining":               {func(a *Agent) { a.Announce(&draining, now) }, Message{Service: 7}, ReasonDraining},
-		"gone":                   {func(a *Agent) { a.Announce(&ready, now); a.Deregister("", now) }, Message{Service: 7}, ReasonGone},
-		"zone out":               {func(a *Agent) { a.Announce(&ready, now); a.setZonesOut([]ZoneKey{3}, 9, now) }, Message{Service: 7}, ReasonZoneOut},
+		"not heard yet, it listens, zones not known": {func(a *Agent) { a.Probed(ProbeAccepted, now) }, Message{Service: 7}, ReasonUnknown},
+		"not heard yet, it listens": {func(a *Agent) {
+			a.Probed(ProbeAccepted, now)
+			a.setZonesOut(nil, 9, now)
+		}, Message{Service: 7}, ReasonNone},
+		"not heard yet, it listens, zone out": {func(a *Agent) {
+			a.Probed(ProbeAccepted, now)
+			a.setZonesOut([]ZoneKey{3}, 9, now)
+		}, Message{Service: 7}, ReasonZoneOut},
+		"not heard yet, held for cold": {func(a *Agent) {
+			a.Probed(ProbeAccepted, now)
+			a.setZonesOut(nil, 9, now)
+			a.upstream.bucket.take(0.5, now)
+		}, Message{Service: 7, Cold: ColdRateOf(0.5)}, ReasonCold},
+		"nothing listens": {func(a *Agent) { a.Announce(&ready, now); a.Probed(ProbeRefused, now) }, Message{Service: 7}, ReasonGone},
+		"draining":        {func(a *Agent) { a.Announce(&draining, now) }, Message{Service: 7}, ReasonDraining},
+		"gone":            {func(a *Agent) { a.Announce(&ready, now); a.Deregister("", now) }, Message{Service: 7}, ReasonGone},
+		"zone out":        {func(a *Agent) { a.Announce(&ready, now); a.setZonesOut([]ZoneKey{3}, 9, now) }, Message{Service: 7}, ReasonZoneOut},
 		"zone out, older word": {func(a *Agent) {
 			a.Announce(&ready, now)
 			a.setZonesOut(nil, 9, now)
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -23,16 +23,37 @@
 		return ReasonDraining
 	case u.state == UpstreamGone, u.state == UpstreamAbsent:
 		return ReasonGone
-	case u.state == UpstreamUnknown:
+	case u.state == UpstreamUnknown && !a.mayTry():
 		return ReasonUnknown
 	case a.busy(h, now):
 		return ReasonBusy
-	case now < u.coldTill && h.Cold > 0 && !u.bucket.take(h.Cold.perSecond(), now):
+	case (now < u.coldTill || u.state == UpstreamUnknown) && h.Cold > 0 && !u.bucket.take(h.Cold.perSecond(), now):
 		return ReasonCold
 	}
 	return ReasonNone
 }
 
+// mayTry reports whether an upstream may get openings that has not announced itself
+// since this agent started: it is there, and whether its zone is out is known.
+//
+// When all processes were killed, most agents came back a half second before their
+// upstreams' next heartbeats; all openings went to the two or three that were heard
+// first, and were late there. Balancers ask the others before. It is held for cold;
+// that it drains is known a heartbeat later, and until then it still serves.
+func (a *Agent) mayTry() bool { return a.upstream.listens && a.revision > 0 }
+
+// unknownSlots are taken for an upstream's that has not told its own: today's have
+// five or six.
+const unknownSlots = 4
+
+// size returns how many requests the upstream works on at once.
+func (u *upstream) size() int {
+	if u.state == UpstreamUnknown {
+		return unknownSlots
+	}
+	return max(u.slots, 1)
+}
+
 const (
 	// busyAt is the requests for each slot from which on an opening is better
 	// placed elsewhere: its request would wait about as long as one is worked on,
@@ -102,7 +123,7 @@
 	if h.Hop == 0 && a.BusyAt != 0 {
 		limit = a.BusyAt
 	}
-	return limit > 0 && float64(a.work(now)) >= limit*float64(max(a.upstream.slots, 1))
+	return limit > 0 && float64(a.work(now)) >= limit*float64(a.upstream.size())
 }
 
 // coming counts openings that were given to the upstream and whose requests have
--- a/datagram/upstream.go
+++ b/datagram/upstream.go
@@ -37,6 +37,8 @@
 	mute bool
 	// answers: a packet of it was seen, announced or not.
 	answers bool
+	// listens: something accepted a connection at its address.
+	listens bool
 	// complete: the agent knows every flow of this life.
 	complete bool
 	bucket   bucket
--- a/datagram/world_test.go
+++ b/datagram/world_test.go
@@ -288,7 +288,11 @@
 	v.a.Probe = func() {
 		w.after(time.Millisecond, func() {
 			if v.life == life {
-				v.a.Probed(!v.u.alive, w.now-v.since)
+				p := datagram.ProbeRefused
+				if v.u.alive {
+					p = datagram.ProbeAccepted
+				}
+				v.a.Probed(p, w.now-v.since)
 			}
 		})
 	}
--- a/node/agent.go
+++ b/node/agent.go
@@ -103,11 +103,15 @@
 func (a *Agent) probe() {
 	d := net.Dialer{Timeout: probeTimeout}
 	c, err := d.DialContext(a.ctx, "tcp4", a.settings.Upstream.String())
-	if err == nil {
+	p := datagram.ProbeUnanswered
+	switch {
+	case err == nil:
+		p = datagram.ProbeAccepted
 		c.Close()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		p = datagram.ProbeRefused
 	}
-	refused := errors.Is(err, syscall.ECONNREFUSED)
-	a.loop.do(a.ctx, func(now time.Duration) { a.agent.Probed(refused, now) })
+	a.loop.do(a.ctx, func(now time.Duration) { a.agent.Probed(p, now) })
 }
 
 // leaveDelay lets balancers hear that the agent stops before it does.
