Believe an upstream's word before a probe that began earlier, and trace two flaky tests

(1) TestFlowThroughRealPrograms: an agent tried its upstream's address just before it listened and took the refusal in after the first heartbeat, so the upstream counted as absent until the next one; the same can happen to any upstream that starts with its VM. The test's upstream had no TCP port either, where a real one serves its health. (2) TestFollowFindsAChangeThatItsWatchMissed, 4.565 s where 4.5 s is the bound: a watch on a silent connection was given up 1.5 s after its wait of up to 3 s, and the next try comes 0.1 s later. (3) A data race under load: what a call on the loop was to write was read though the call had been given up with its context. Change: an announcement after the probe began goes before its outcome; a watch has 1 s beyond its wait; what an abandoned call writes is not read any more.

--- a/datagram/absence.go
+++ b/datagram/absence.go
@@ -76,14 +76,17 @@
 // Probed takes in what came of a probe.
 func (a *Agent) Probed(p Probe, now time.Duration) {
 	a.probing = false
-	a.upstream.listens = p == ProbeAccepted
-	if p != ProbeRefused || a.upstream.state == UpstreamAbsent {
+	u := &a.upstream
+	u.listens = p == ProbeAccepted
+	if p != ProbeRefused || u.state == UpstreamAbsent || u.state != UpstreamUnknown && u.announced >= a.probed {
+		// What an upstream says after the probe began goes before it: it was refused
+		// just before the upstream listened.
 		return
 	}
 	a.endFlows(now, now)
 	// What starts there later has no flow that this agent does not know.
-	a.upstream.state, a.upstream.complete, a.upstream.gave = UpstreamAbsent, true, 0
-	a.Log.upstreamChanged(&a.upstream, false)
+	u.state, u.complete, u.gave = UpstreamAbsent, true, 0
+	a.Log.upstreamChanged(u, false)
 	a.tell(now)
 }
 
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -87,10 +87,19 @@
 			a.setZonesOut(nil, 9, now)
 			a.upstream.bucket.take(0.5, now)
 		}, Message{Service: 7, Cold: ColdRateOf(0.5)}, ReasonCold},
-		"nothing listens": {func(a *Agent) { a.Announce(&ready, now); a.Probed(ProbeRefused, now) }, Message{Service: 7}, ReasonGone},
-		"draining":        {func(a *Agent) { a.Announce(&draining, now) }, Message{Service: 7}, ReasonDraining},
-		"gone":            {func(a *Agent) { a.Announce(&ready, now); a.Deregister("", now) }, Message{Service: 7}, ReasonGone},
-		"zone out":        {func(a *Agent) { a.Announce(&ready, now); a.setZonesOut([]ZoneKey{3}, 9, now) }, Message{Service: 7}, ReasonZoneOut},
+		"nothing listens": {func(a *Agent) {
+			a.Announce(&ready, now-time.Second)
+			a.probed = now - time.Millisecond
+			a.Probed(ProbeRefused, now)
+		}, Message{Service: 7}, ReasonGone},
+		"announced while it was tried": {func(a *Agent) {
+			a.probed = now - time.Second
+			a.Announce(&ready, now)
+			a.Probed(ProbeRefused, now)
+		}, Message{Service: 7}, ReasonNone},
+		"draining": {func(a *Agent) { a.Announce(&draining, now) }, Message{Service: 7}, ReasonDraining},
+		"gone":     {func(a *Agent) { a.Announce(&ready, now); a.Deregister("", now) }, Message{Service: 7}, ReasonGone},
+		"zone out": {func(a *Agent) { a.Announce(&ready, now); a.setZonesOut([]ZoneKey{3}, 9, now) }, Message{Service: 7}, ReasonZoneOut},
 		"zone out, older word": {func(a *Agent) {
 			a.Announce(&ready, now)
 			a.setZonesOut(nil, 9, now)
--- a/node/agent.go
+++ b/node/agent.go
@@ -78,10 +78,10 @@
 func (a *Agent) tick(now time.Duration) time.Duration { return a.agent.Tick(now) }
 
 // Announce takes a heartbeat of the upstream.
-func (a *Agent) Announce(n *datagram.Announcement) (ok bool) {
+func (a *Agent) Announce(n *datagram.Announcement) bool {
 	n.Age = time.Since(time.UnixMilli(n.Born))
-	done := a.loop.do(a.ctx, func(now time.Duration) { ok = a.agent.Announce(n, now) })
-	return done && ok
+	var ok bool
+	return a.loop.do(a.ctx, func(now time.Duration) { ok = a.agent.Announce(n, now) }) && ok
 }
 
 // Deregister takes in that the upstream exits.
@@ -164,7 +164,9 @@
 	}
 	a.log.Add(events.Draining)
 	var s datagram.UpstreamState
-	a.loop.do(a.ctx, func(now time.Duration) { s = a.agent.State(); a.agent.Leave(now) })
+	if !a.loop.do(a.ctx, func(now time.Duration) { s = a.agent.State(); a.agent.Leave(now) }) {
+		return nil
+	}
 	if s == datagram.UpstreamGone || s == datagram.UpstreamAbsent {
 		ctx, stop := context.WithTimeout(a.ctx, a.live.Load().Grace/2)
 		defer stop()
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -228,11 +228,13 @@
 		records[m.IP] = o
 	}
 	var dead []datagram.IP
-	b.loop.do(b.ctx, func(now time.Duration) {
+	if !b.loop.do(b.ctx, func(now time.Duration) {
 		b.balancer.SetMembers(ms, fresh, now)
 		b.updateView(func(v *View) { v.Processes = os })
 		dead = b.balancer.Reap(ms, now)
-	})
+	}) {
+		return
+	}
 	for _, ip := range dead {
 		b.remove(records[ip])
 	}
--- a/node/loop.go
+++ b/node/loop.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// do runs f on the loop and waits for it, unless the context ends first.
+// do runs f on the loop and waits for it. It is false if the context ended first; f may
+// then run still, so nothing that it writes may be read.
 func (l *loop) do(ctx context.Context, f func(now time.Duration)) bool {
 	done := make(chan struct{})
 	select {
--- a/node/offer_test.go
+++ b/node/offer_test.go
@@ -19,9 +19,10 @@
 		t.Fatal(err)
 	}
 	defer s.run(first)()
-	configured := func(b *Balancer) (v datagram.Version) {
-		b.loop.do(t.Context(), func(time.Duration) { v = b.balancer.Configured() })
-		return v
+	configured := func(b *Balancer) datagram.Version {
+		v := make(chan datagram.Version, 1)
+		b.loop.do(t.Context(), func(time.Duration) { v <- b.balancer.Configured() })
+		return <-v
 	}
 	s.eventually("configuration of the store", func() bool { return configured(first) == 3 })
 	o := s.options("127.0.0.12")
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -66,6 +66,11 @@
 		t.Fatal(err)
 	}
 	s.upstream, s.caller = s.listen(agentIP, "app"), s.listen(callerIP, "datagram")
+	l, err := net.Listen("tcp4", s.at(agentIP, "app")) // where a real one serves its health
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
 	return s
 }
 
--- a/node/store.go
+++ b/node/store.go
@@ -35,6 +35,10 @@
 	// are promised and the 4 s after which a store counts as stable again.
 	watchShort = 3 * time.Second
 	watchLong  = 16 * time.Second
+	// watchGrace is what a watch is given beyond its wait: four answers of a slow store,
+	// which take 0.24 s. On a connection that has gone silent that is the time until
+	// the next try.
+	watchGrace = time.Second
 	// watchersLeast is how many wait shortly.
 	watchersLeast = 3
 	// retryFirst and retryMost space the calls to a store that does not answer.
@@ -173,7 +177,10 @@
 		}
 		return l.At, nil
 	}
-	x, err := s.client().Watch(ctx, k, at, s.watchWait())
+	wait := s.watchWait()
+	ctx, stop := context.WithTimeout(ctx, wait+watchGrace)
+	defer stop()
+	x, err := s.client().Watch(ctx, k, at, wait)
 	if err != nil {
 		return 0, err
 	}
