--- a/cli/explain.go
+++ b/cli/explain.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -16,6 +17,14 @@
 	Files []string `arg:"" optional:"" help:"Log files of balancers and agents; standard input if none." type:"existingfile"`
 }
 
+// Validate refuses an empty id, which most lines have.
+func (o *ExplainOptions) Validate() error {
+	if strings.TrimSpace(o.What) == "" {
+		return eris.New("what to explain is missing: a request's id, or a caller's address and port")
+	}
+	return nil
+}
+
 func runExplain(o ExplainOptions, s streams) error {
 	var ls []explain.Line
 	read := func(r io.Reader) error {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -65,7 +65,7 @@
 func Story(ls []Line, what string) []Line {
 	callers := map[string]bool{}
 	for _, l := range ls {
-		if l.Request == what || l.Caller == what {
+		if what != "" && (l.Request == what || l.Caller == what) {
 			callers[l.Caller] = true
 		}
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -32,6 +32,7 @@
 		"by id":     {"7a-b", []string{"front-a-1 3101", "front-a-1 1101", "front-a-1 1102", "side-b-1 2201"}},
 		"by caller": {"100.64.0.8:1079", []string{"front-a-1 3101", "front-a-1 1101"}},
 		"unknown":   {"nobody", nil},
+		"empty":     {"", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got := Story(ls, x.what)
