End the flows of a zone that is out one by one, within the operators' bound

Change: each flow ends at its own time, between 0.6 and 0.96 of the bound that the settings file names (evacuation-ms; 5 s without), by its hash. Openings stop at once, as before, and nothing is sent after the bound.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -34,6 +34,9 @@
 	// BusyAt is how many requests for each slot make the upstream busy, so that
 	// openings go elsewhere if they can; 0 means busyAt, less means never.
 	BusyAt float64
+	// Evacuation is within what nothing more may be sent to an availability zone that
+	// operators took out; 0 means evacuationUsual.
+	Evacuation time.Duration
 	// Probe, if not nil, has the upstream's address tried; Probed is called with
 	// what came of it. It must not wait.
 	Probe func()
@@ -88,9 +91,15 @@
 	// requestLife is over the longest deadline of a request that takes a slot;
 	// its caller has given up.
 	requestLife = 10 * time.Second
-	// zoneOutGrace is how long flows of an availability zone that is out may go
-	// on: callers use it to end what they have begun. Openings stop at once.
-	zoneOutGrace = 3500 * time.Millisecond
+	// evacuationUsual is the bound of an evacuation where the settings have none.
+	evacuationUsual = 5 * time.Second
+	// cutFrom and cutTill are the shares of that bound between which the flows of an
+	// availability zone that is out end, each at its own time; openings stop at once.
+	// A caller may still end what it has begun, and the others lose a request each:
+	// at one moment, 3.5 s, they were an eighth of the requests of two seconds. What
+	// is left of the bound is for the word to come here, which takes some 50 ms.
+	cutFrom = 0.6
+	cutTill = 0.96
 	// chosenSpan is how far beyond the upstream's first number a caller's
 	// acknowledgement may be that chooses it: 1 MB, so that of two upstreams
 	// with random numbers the wrong one is taken once in 4,000 doubled openings.
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -468,7 +468,7 @@
 			a := &Agent{Service: 7, Zone: 3, Format: plain{}, Out: s, Keys: testKeys(t)}
 			a.Start()
 			a.Announce(&Announcement{Service: 7, Born: 5, Sequence: x.first, Slots: 5}, time.Second)
-			a.setZonesOut([]ZoneKey{3}, 9, now-2*zoneOutGrace)
+			a.setZonesOut([]ZoneKey{3}, 9, now-evacuationUsual)
 			m := plainPacket(plainData, 9)
 			k, _ := plain{}.Parse(m[HeaderLen:])
 			if x.here {
@@ -487,6 +487,38 @@
 	}
 }
 
+// Flows of a zone that goes out all ended at one moment, and an eighth of the callers of
+// the next two seconds waited in vain. They end one after another, none later than the
+// operators' bound, and the same way for every packet of a flow.
+func TestFlowsOfAZoneThatIsOutEndOneByOne(t *testing.T) {
+	for name, bound := range map[string]time.Duration{"usual": 0, "short": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			a := &Agent{Zone: 3, Evacuation: bound, Format: plain{}, Out: newSent(t)}
+			a.Start()
+			a.setZonesOut([]ZoneKey{3}, 9, time.Second)
+			if bound == 0 {
+				bound = evacuationUsual
+			}
+			ends := map[time.Duration]int{}
+			for port := range uint16(1000) {
+				f := Flow{Caller: Endpoint{1, port}, Address: Endpoint{2, 443}}
+				if a.closed(f, time.Second+bound/2) {
+					t.Fatal("a flow ended in the first half of the bound")
+				}
+				if !a.closed(f, time.Second+bound) {
+					t.Fatal("a flow goes on after the bound")
+				}
+				ends[a.cutAfter(f)*10/bound]++
+			}
+			for tenth := range time.Duration(3) {
+				if n := ends[6+tenth]; n < 200 || n > 350 {
+					t.Errorf("%d of 1000 end in tenth %d of the bound", n, 6+tenth)
+				}
+			}
+		})
+	}
+}
+
 // An agent of a zone that is out was started after its upstream and may not ask it
 // for a flow. Whoever else is asked must know the flow to give it on, as the others'
 // upstreams would get the packets of a flow that lives there; and its end is not
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -61,14 +61,14 @@
 	case !known && a.knowsAll(now):
 		a.pass(from, h, m)
 		return
-	case !known && (a.closed(now) || h.Flags.has(FlagKnownOnly)):
+	case !known && (a.closed(k.Flow, now) || h.Flags.has(FlagKnownOnly)):
 		// This agent was started after its upstream, which may hold the flow and may
 		// not be asked. Those who know the flow may still serve it, and nobody else
 		// may put it before a foreign upstream.
 		h.Flags |= FlagUnsure | FlagKnownOnly
 		a.pass(from, h, m)
 		return
-	case a.closed(now):
+	case a.closed(k.Flow, now):
 		a.Count.Dropped++
 		return
 	case !known && a.upstream.state == UpstreamUnknown && !a.upstream.answers:
@@ -128,10 +128,20 @@
 	a.give(p, pending{balancer: from, start: h.Start, hop: h.Hop, flags: h.Flags})
 }
 
-// closed reports whether nothing more is sent to the upstream, as its availability
-// zone has been out for a while.
-func (a *Agent) closed(now time.Duration) bool {
-	return a.zoneOut && now-a.outSince > zoneOutGrace
+// closed reports whether nothing more of the flow is sent to the upstream, as its
+// availability zone has been out for a while.
+func (a *Agent) closed(f Flow, now time.Duration) bool {
+	return a.zoneOut && now-a.outSince > a.cutAfter(f)
+}
+
+// cutAfter returns how long the flow may go on in an availability zone that is out.
+func (a *Agent) cutAfter(f Flow) time.Duration {
+	bound := a.Evacuation
+	if bound == 0 {
+		bound = evacuationUsual
+	}
+	part := float64(f.hash()>>32) / (1 << 32)
+	return time.Duration((cutFrom + (cutTill-cutFrom)*part) * float64(bound))
 }
 
 // knowsAll reports whether a flow that the agent does not know is elsewhere, so
