Let openings wait for busy agents before they are given to doubted ones

Cause: read in the diff: with all agents that are heard busy, an opening was given to one that is doubted, as the next class; at a dead one it lost 60 ms, a third of its aim. Change: while some agent that is heard is only busy, doubted ones are not asked. Measured: TestBusyAgentsGoBeforeDoubtedOnes, askings of the doubted agent before the wait: 1 before, 0 after.

--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -243,11 +243,11 @@
 	best := classNever
 	for _, a := range x.byService[s] {
 		c := a.class(now, x.out)
-		if c > best || c == classNever || contains(tried, a.ip) {
+		if a.busy(hop, now) {
+			busy = busy || c < classDoubted
 			continue
 		}
-		if a.busy(hop, now) {
-			busy = true
+		if c > best || c == classNever || contains(tried, a.ip) {
 			continue
 		}
 		if c < best {
@@ -259,6 +259,10 @@
 			near.add(r)
 		}
 	}
+	if busy && best >= classDoubted {
+		// Room comes free in some milliseconds; one that is dead would take 60.
+		return nil, best, true
+	}
 	if x.placement == PlaceByHash {
 		return all.first.agent, best, busy
 	}
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -376,6 +376,31 @@
 	}
 }
 
+// All upstreams that are heard are busy, and one VM is dead. Each opening that waited
+// was given to the dead agent first and lost 60 ms there, a third of its aim.
+func TestBusyAgentsGoBeforeDoubtedOnes(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 4, now-100*time.Millisecond)
+	b.agents.byIP[4].missed = doubtAfter
+	b.HandleCaller(plainPacket(plainOpening, 1), now)
+	for i := 0; i < len(s.to); i++ {
+		if s.to[i] == 4 {
+			t.Fatalf("asked %v; agent 4 is doubted", s.to)
+		}
+		b.refused(s.to[i], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Hop: 10}, now)
+	}
+	if len(s.to) != 3 {
+		t.Errorf("asked %v, want the three that are heard", s.to)
+	}
+	for ip := IP(1); ip <= 3; ip++ {
+		b.agents.byIP[ip].heard = now - 2*time.Second // none of them is heard any more
+	}
+	b.Tick(now + roomAfter)
+	if len(s.to) != 4 {
+		t.Errorf("asked %v, want one of the doubted when there is no other", s.to)
+	}
+}
+
 // What an opening is held to, by how long it has waited.
 func TestLateOpeningsYield(t *testing.T) {
 	now := 10 * time.Second
