Split files that had two jobs, and remove three twins

Cause: agents.go held what is known of an agent, the choice for an opening and the order of walks (458 lines), decisions_test.go four parts' tests (610); node/balancer.go also asked other balancers. Names of events stood twice (datagram/log.go), and both programs waited for their end in the same lines. Change: agentview.go, placement.go, order.go, askpeers.go and a test file for each part, by pure moves; events are named once; awaitStop is the one wait.

--- /dev/null
+++ b/datagram/agentview.go
@@ -0,0 +1,193 @@
+package datagram
+
+import "time"
+
+const (
+	// silentStatuses, silentLeast and silentDelay are how long an agent may be
+	// silent: two of its statuses and their way, so that one lost datagram is no
+	// doubt, and not less than three of a small site's.
+	silentStatuses = 2
+	silentLeast    = 3 * StatusEvery
+	silentDelay    = 100 * time.Millisecond
+	// forgottenAfter is when an agent that nobody hears and no record names is
+	// forgotten: longer than a restart, and than flows can wait for it.
+	forgottenAfter = 30 * time.Second
+	// doubtAfter is how many openings in a row an agent leaves unanswered before
+	// others are tried first; a lost datagram is one.
+	doubtAfter = 1
+)
+
+// agentView is what a balancer knows of an agent.
+type agentView struct {
+	ip       IP
+	key      uint64
+	status   AgentStatus
+	recorded bool
+	noted    time.Duration // when it was known first
+	heard    time.Duration // 0: never
+	started  time.Duration
+	missed   int // openings left unanswered since it was heard
+	// told is when a balancer near the agent said that it is silent; 0: not.
+	told       time.Duration
+	toldStatus time.Duration // when this balancer told the agent its own status
+	work       int           // flows and requests there, by its latest word
+	asked      int           // openings that it has not answered yet
+	// declined is when it said that it is busy, by how pressing the opening was.
+	declined [pressingEnd]time.Duration
+	former   [4]Life
+}
+
+// class orders agents for openings; a lower one is tried first.
+type class uint8
+
+const (
+	classReady class = iota
+	classCold
+	classUnknown
+	classDoubted
+	// classNever agents would refuse, so they aren't asked.
+	classNever
+)
+
+func (a *agentView) class(now time.Duration, out map[ZoneKey]bool) class {
+	s := &a.status
+	switch {
+	case out[s.Zone], s.Leaving, s.State == UpstreamDraining, s.State == UpstreamGone, s.State == UpstreamAbsent:
+		return classNever
+	case a.missed >= doubtAfter, a.told != 0, s.State == UpstreamSilent:
+		return classDoubted
+	case a.heard == 0:
+		// Recorded, and not heard yet: a balancer that has just started would
+		// otherwise send everything to the first agent that it hears.
+		return classReady
+	case a.silent(now):
+		return classDoubted
+	case s.State == UpstreamUnknown:
+		return classUnknown
+	case s.Cold.Duration() > now-a.heard:
+		return classCold
+	}
+	return classReady
+}
+
+// load is the flows and requests at the agent's upstream, by its size. A request
+// counts as much as a flow: with a weight of four, which a request's share of a
+// slot would ask for, one upstream of seven got 1.31 of the mean of 300 feeds.
+func (a *agentView) load() float64 {
+	return float64(a.work+a.asked) / float64(max(a.status.Slots, 1))
+}
+
+// answered takes in the load that comes with an answer to an opening, as statuses
+// are up to 250 ms old when many callers open at once.
+func (a *agentView) answered(load uint16) {
+	a.work, a.asked = int(load), max(0, a.asked-1)
+}
+
+// busyFor is how long an agent that declined an opening is not asked again with the
+// same limit or a lower one. An upstream of five slots ends a request each 6 to 16 ms.
+//
+// When all callers returned, each opening that waited asked every agent each 40 ms:
+// 11,000 askings a second for 600 places, more than balancers with a twelfth of a core
+// can send, and those that could have been in time waited with the rest.
+const busyFor = 20 * time.Millisecond
+
+// carefulFor is how long after that it is asked by one opening at a time: those that
+// wait do so in step, and would all ask before the first is declined.
+const carefulFor = 200 * time.Millisecond
+
+// busy reports whether the agent would decline an opening with the hop, as far as is
+// known.
+func (a *agentView) busy(hop uint8, now time.Duration) bool {
+	since := now - a.declined[hop]
+	return a.declined[hop] != 0 && (since < busyFor || since < carefulFor && a.asked > 0)
+}
+
+// decline notes that the agent declined an opening with the hop, with so many requests
+// there: it would decline all that are held to a limit that these reach.
+func (a *agentView) decline(hop uint8, requests int, now time.Duration) {
+	for h := range a.declined {
+		if uint8(h) == hop || limitOf(uint8(h))*float64(max(a.status.Slots, 1)) <= float64(requests) {
+			a.declined[h] = now
+		}
+	}
+}
+
+// newer reports whether the status is later than what is known.
+//
+// A datagram of a former life that comes late would set a restarted agent back
+// to what it was, such as ready while it now drains. It shows as a life that was
+// followed by another, or an older sequence; clocks play no part, as they jump.
+func (a *agentView) newer(s *AgentStatus, now time.Duration) bool {
+	if s.Life == a.status.Life {
+		return s.Sequence > a.status.Sequence
+	}
+	for _, l := range a.former {
+		if l != 0 && l == s.Life {
+			return false
+		}
+	}
+	return a.heard == 0 || now-s.Uptime.Duration() > a.started
+}
+
+// nearEnough reports whether the agent, of the own availability zone, is taken
+// rather than o: it has a free slot, and is not much fuller.
+//
+// Bytes between zones are paid for, and each crossing takes 1 to 1.5 ms twice.
+// But zones' callers are not as many as their upstreams can serve, so flows stay
+// at home only as long as that costs no waiting.
+func (a *agentView) nearEnough(o *agentView) bool {
+	return int(a.status.UnderWay)+a.asked < int(max(a.status.Slots, 1)) && a.load() <= nearLoad*o.load()+1/float64(max(a.status.Slots, 1))
+}
+
+// nearLoad is how much fuller an upstream of the own zone may be; busiest over
+// mean is to stay under 1.2.
+const nearLoad = 1.1
+
+// reachable reports whether a packet that the agent does not hold would come back.
+//
+// A walk that leads through a dead agent ends there, and all retransmissions with
+// it, while the flow lives on further down; so silent agents are asked last.
+func (a *agentView) reachable(now time.Duration) bool {
+	return a.heard != 0 && a.told == 0 && !a.silent(now)
+}
+
+// silent reports whether the agent's statuses are overdue.
+func (a *agentView) silent(now time.Duration) bool {
+	return now-a.heard > max(silentStatuses*a.status.Every.Duration(), silentLeast)+silentDelay
+}
+
+// near reports whether the agent tells this balancer often.
+func (a *agentView) near() bool {
+	return a.heard != 0 && a.status.Every.Duration() <= LargeEvery
+}
+
+// lastSign is when there was last a sign of the agent's life, or word of its end.
+func (a *agentView) lastSign() time.Duration { return max(a.heard, a.told) }
+
+// goneAfter is when a silent agent is held for gone with its flows: five times the
+// 0.5 s in which a killed process is started again. Callers' deadlines are 1 to 4 s,
+// and until then each of them waits for an answer that may never come.
+const goneAfter = 2500 * time.Millisecond
+
+// unheardAfter is the same for an agent that is recorded and was not heard since
+// this balancer started: three times the 0.6 s in which a process is started
+// again. A VM that died long ago may still have its record.
+const unheardAfter = 2 * time.Second
+
+// mayLive reports whether a silent agent may still hold flows.
+//
+// Those whose upstream had deregistered, or had not been heard for as long as one
+// that lives needs, hold none. Their VMs are taken away soon after, and callers of
+// quite other upstreams, lost with them in a loss of power, waited for 5 s.
+func (a *agentView) mayLive(now time.Duration) bool {
+	s := &a.status
+	switch {
+	case s.State == UpstreamGone, s.State == UpstreamAbsent, s.State == UpstreamUnknown && s.Uptime.Duration() > announcedWithin:
+		return false
+	case a.heard == 0 && a.told == 0:
+		return now < a.noted+unheardAfter
+	case a.near():
+		return now-a.heard < goneAfter // told is then this balancer's own doubt
+	}
+	return now-a.lastSign() < goneAfter
+}
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -1,6 +1,10 @@
 package datagram
 
-import "time"
+import (
+	"time"
+
+	"pomeloway.example/pomeloway/events"
+)
 
 // What an agent knows of flows it learns from packets that pass. It is told by its
 // upstream of all that it does not know: a packet of an unknown flow is given to the
@@ -180,7 +184,7 @@
 	f.underWay, f.asked = true, now
 	a.underWay++
 	if a.Log != nil {
-		a.Log.decide(decision{event: eventRequest, flow: k.Flow, request: a.Format.RequestID(p), hop: uint8(min(a.underWay, 255)), version: a.version}, now)
+		a.Log.decide(decision{event: events.RequestSeen, flow: k.Flow, request: a.Format.RequestID(p), hop: uint8(min(a.underWay, 255)), version: a.version}, now)
 	}
 }
 
@@ -238,7 +242,7 @@
 // cut tells the flow's caller that the flow is gone.
 func (a *Agent) cut(k Flow, f *flowState, number uint32, now time.Duration) {
 	a.Count.Resets++
-	a.Log.decide(decision{event: eventCut, flow: k, reason: ReasonGone, version: a.version, age: now - f.since}, now)
+	a.Log.decide(decision{event: events.FlowCut, flow: k, reason: ReasonGone, version: a.version, age: now - f.since}, now)
 	n := a.Format.PutReset(a.scratch[:], k, number)
 	a.Out.ToCaller(k.Caller.IP, a.scratch[:n])
 }
@@ -283,7 +287,7 @@
 			f.phase, f.accepted = flowAccepted, k.Seq
 			a.Count.Established++
 			a.Observe.note(ObserveHandshake, now-f.since)
-			a.Log.decide(decision{event: eventOpened, flow: k.Flow, agent: f.balancer, version: a.version, age: now - f.since}, now)
+			a.Log.decide(decision{event: events.FlowEstablished, flow: k.Flow, agent: f.balancer, version: a.version, age: now - f.since}, now)
 		}
 		if f.opening != 0 {
 			a.hint(f.balancer, Message{Kind: KindOpened, Opening: f.opening, Service: a.Service, Load: a.load(now)}, k.Flow)
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"pomeloway.example/pomeloway/events"
 )
 
 // The gate decides on openings where all that binds one is known: beside the
@@ -164,7 +166,7 @@
 		a.flows.set(k.Flow, f)
 		a.coming.add(1, now)
 		a.Count.Taken++
-		a.Log.decide(decision{event: eventTaken, flow: k.Flow, agent: from, version: a.version, hop: uint8(min(a.underWay, 255))}, now)
+		a.Log.decide(decision{event: events.OpeningTaken, flow: k.Flow, agent: from, version: a.version, hop: uint8(min(a.underWay, 255))}, now)
 	}
 	f.balancer, f.opening = from, h.Opening
 	if a.upstream.silent(now) {
@@ -189,7 +191,7 @@
 
 func (a *Agent) decline(to IP, h Message, f Flow, r Reason, now time.Duration) {
 	a.Count.Declined++
-	a.Log.decide(decision{event: eventDeclined, flow: f, agent: to, reason: r, version: a.version}, now)
+	a.Log.decide(decision{event: events.OpeningDeclined, flow: f, agent: to, reason: r, version: a.version}, now)
 	a.hint(to, Message{Kind: KindRefused, Reason: r, Hop: uint8(min(a.work(now), math.MaxUint8)), Opening: h.Opening, Service: a.Service, Load: a.load(now)}, f)
 }
 
--- a/datagram/log.go
+++ b/datagram/log.go
@@ -8,20 +8,6 @@
 	"pomeloway.example/pomeloway/events"
 )
 
-// Events of datagram services.
-const (
-	eventPlaced   = events.OpeningPlaced
-	eventPassed   = events.OpeningPassed
-	eventRefused  = events.OpeningRefused
-	eventUnplaced = events.OpeningUnplaced
-	eventTaken    = events.OpeningTaken
-	eventDeclined = events.OpeningDeclined
-	eventOpened   = events.FlowEstablished
-	eventNotFound = events.FlowNotFound
-	eventCut      = events.FlowCut
-	eventRequest  = events.RequestSeen
-)
-
 // decision is one line about a flow, with what decided it.
 type decision struct {
 	event   events.ID
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"pomeloway.example/pomeloway/events"
 )
 
 // An opening is kept until an agent says that its upstream accepted it, so that
@@ -249,7 +251,7 @@
 	o.agent = a.ip
 	a.asked++
 	b.Log.decide(decision{
-		event: eventPlaced, flow: o.flow, agent: a.ip, hop: uint8(o.asked), version: b.Configured(), class: c, age: now - a.heard,
+		event: events.OpeningPlaced, flow: o.flow, agent: a.ip, hop: uint8(o.asked), version: b.Configured(), class: c, age: now - a.heard,
 	}, now)
 	o.hop = hop
 	b.send(o.packet[:HeaderLen+o.length], Message{Kind: KindOpening, Hop: hop, Opening: o.id, Service: o.service, Start: a.ip, Cold: b.cold(o.service)}, a.ip)
@@ -271,7 +273,7 @@
 		b.Count.NoAgent++
 	}
 	if o.silent || o.asked == 0 {
-		b.Log.decide(decision{event: eventUnplaced, flow: o.flow, hop: uint8(o.asked), reason: ReasonNoAgent, version: b.Configured(), age: now - o.started}, now)
+		b.Log.decide(decision{event: events.OpeningUnplaced, flow: o.flow, hop: uint8(o.asked), reason: ReasonNoAgent, version: b.Configured(), age: now - o.started}, now)
 		return
 	}
 	p, _ := b.Format.Parse(o.packet[HeaderLen : HeaderLen+o.length])
@@ -293,7 +295,7 @@
 // refuse resets an opening that no upstream has been given, or that all refused.
 func (b *Balancer) refuse(f Flow, seq uint32, why Reason, now time.Duration) {
 	b.Count.Resets++
-	b.Log.decide(decision{event: eventRefused, flow: f, reason: why, version: b.Configured()}, now)
+	b.Log.decide(decision{event: events.OpeningRefused, flow: f, reason: why, version: b.Configured()}, now)
 	b.reset(f, seq)
 }
 
@@ -342,7 +344,7 @@
 			o.idlest, o.requests = from, h.Load
 		}
 	}
-	b.Log.decide(decision{event: eventPassed, flow: o.flow, agent: from, reason: h.Reason, hop: uint8(o.asked), version: b.Configured(), age: now - o.at}, now)
+	b.Log.decide(decision{event: events.OpeningPassed, flow: o.flow, agent: from, reason: h.Reason, hop: uint8(o.asked), version: b.Configured(), age: now - o.at}, now)
 	b.try(o, now)
 }
 
@@ -363,7 +365,7 @@
 			}
 		}
 		o.silent = true
-		b.Log.decide(decision{event: eventPassed, flow: o.flow, agent: o.agent, reason: ReasonSilent, hop: uint8(o.asked), version: b.Configured(), age: now - o.at}, now)
+		b.Log.decide(decision{event: events.OpeningPassed, flow: o.flow, agent: o.agent, reason: ReasonSilent, hop: uint8(o.asked), version: b.Configured(), age: now - o.at}, now)
 		if now-o.started > openingLife {
 			o.deadline = 0
 			continue
--- /dev/null
+++ b/datagram/openings_test.go
@@ -0,0 +1,173 @@
+package datagram
+
+import (
+	"testing"
+	"time"
+)
+
+// An agent dies. Every opening that came to it waited 60 ms for it, as each was
+// sent there first; only the first may.
+func TestUnansweredOpeningMovesTheAgentBehind(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 4, now-100*time.Millisecond)
+	b.HandleCaller(plainPacket(plainOpening, 1), now)
+	dead := s.to[0]
+	now += answerWithin
+	b.Tick(now)
+	if len(s.to) != 2 || s.to[1] == dead {
+		t.Fatalf("sent to %v", s.to)
+	}
+	for port := range uint16(50) {
+		b.HandleCaller(plainPacket(plainOpening, 100+port), now)
+		if s.to[len(s.to)-1] == dead {
+			t.Fatal("the silent agent is asked first again")
+		}
+	}
+	b.agents.hear(dead, AgentStatus{Life: Life(dead), Sequence: 2, Service: 7, State: UpstreamReady, Slots: 5}, now)
+	if b.agents.byIP[dead].class(now, nil) != classReady {
+		t.Error("an agent that is heard again is still doubted")
+	}
+}
+
+// Every upstream is full. An opening waited for the caller's copy, 200 ms, and met
+// full upstreams again; a confirmation's aim is 200 ms. It waits at the balancer and
+// asks one agent at a time, and an urgent one presses the idlest at once.
+func TestOpeningWaitsForRoomAtTheBalancer(t *testing.T) {
+	for name, x := range map[string]struct {
+		urgent bool
+		first  int // askings before it waits
+		hop    uint8
+	}{
+		"urgent":     {true, 4, pressingUrgent},
+		"not urgent": {false, 3, pressing},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			b, s := testBalancer(t, 3, now-100*time.Millisecond)
+			b.config.Routes[Endpoint{2, 443}] = Route{Shares: []Share{{7, 1}}, Urgent: x.urgent}
+			b.HandleCaller(plainPacket(plainOpening, 1), now)
+			busy := func() {
+				b.refused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Hop: 10}, now)
+			}
+			for range x.first {
+				busy()
+			}
+			if len(s.to) != x.first || s.caller != 0 {
+				t.Fatalf("asked %v, resets %d", s.to, s.caller)
+			}
+			now += roomAfter
+			b.Tick(now)
+			if len(s.to) != x.first+1 || s.process[x.first].Hop != x.hop {
+				t.Fatalf("asked %v with hop %d after %v", s.to, s.process[len(s.to)-1].Hop, roomAfter)
+			}
+			for range 100 {
+				busy()
+				now += roomAfter
+				b.Tick(now)
+			}
+			if n := len(s.to); n < 20 || n > 40 {
+				t.Errorf("asked %d times in all; the caller gave up after 1.4 s", n)
+			}
+		})
+	}
+}
+
+// Fifty openings wait while all upstreams are full. Each asked every agent every 40 ms,
+// together more than a balancer on a twelfth of a core can send, so that also those
+// that found room waited. Who was declined speaks for all that are held to its limit.
+func TestManyThatWaitAskLittle(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 7, now-100*time.Millisecond)
+	for port := range uint16(50) {
+		b.HandleCaller(plainPacket(plainOpening, 100+port), now)
+	}
+	asked := 0
+	for end := now + time.Second; now < end; now += time.Millisecond {
+		for ; asked < len(s.to); asked++ {
+			b.refused(s.to[asked], Message{Opening: s.process[asked].Opening, Reason: ReasonBusy, Load: 20, Hop: 10}, now)
+		}
+		for ip := range b.agents.byIP {
+			b.agents.byIP[ip].heard = now
+		}
+		b.Tick(now)
+	}
+	if most := 50 + 7*int(time.Second/busyFor); asked > most {
+		t.Errorf("asked %d times in a second, want at most %d", asked, most)
+	}
+	if asked < 100 {
+		t.Errorf("asked %d times only; room was found late", asked)
+	}
+}
+
+// All upstreams that are heard are busy, and one VM is dead. Each opening that waited
+// was given to the dead agent first and lost 60 ms there, a third of its aim.
+func TestBusyAgentsGoBeforeDoubtedOnes(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 4, now-100*time.Millisecond)
+	b.agents.byIP[4].missed = doubtAfter
+	b.HandleCaller(plainPacket(plainOpening, 1), now)
+	for i := 0; i < len(s.to); i++ {
+		if s.to[i] == 4 {
+			t.Fatalf("asked %v; agent 4 is doubted", s.to)
+		}
+		b.refused(s.to[i], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Hop: 10}, now)
+	}
+	if len(s.to) != 3 {
+		t.Errorf("asked %v, want the three that are heard", s.to)
+	}
+	for ip := IP(1); ip <= 3; ip++ {
+		b.agents.byIP[ip].heard = now - 2*time.Second // none of them is heard any more
+	}
+	b.Tick(now + roomAfter)
+	if len(s.to) != 4 {
+		t.Errorf("asked %v, want one of the doubted when there is no other", s.to)
+	}
+}
+
+// What an opening is held to, by how long it has waited.
+func TestLateOpeningsYield(t *testing.T) {
+	now := 10 * time.Second
+	for name, x := range map[string]struct {
+		urgent  bool
+		aim     time.Duration
+		waited  time.Duration
+		hop     uint8
+		belowAt float64 // requests a slot up to which an agent takes it
+	}{
+		"can be in time":           {false, 150 * time.Millisecond, 50 * time.Millisecond, pressing, fullAt},
+		"urgent, can be in time":   {true, 150 * time.Millisecond, 50 * time.Millisecond, pressingUrgent, fullAtUrgent},
+		"will be late":             {false, 150 * time.Millisecond, 100 * time.Millisecond, pressingLate, lateAt},
+		"urgent, will be late":     {true, 150 * time.Millisecond, 100 * time.Millisecond, pressingLateUrgent, lateAtUrgent},
+		"a caller's second copy":   {false, 150 * time.Millisecond, copyAge(1), pressingLate, lateAt},
+		"a route without an aim":   {false, 0, time.Second, pressing, fullAt},
+		"a route with a long aim":  {false, 500 * time.Millisecond, copyAge(1), pressing, fullAt},
+		"its caller's third copy":  {false, 500 * time.Millisecond, copyAge(2), pressingLate, lateAt},
+		"urgent, its second copy":  {true, 200 * time.Millisecond, copyAge(1), pressingLateUrgent, lateAtUrgent},
+		"urgent, without any wait": {true, 200 * time.Millisecond, 0, pressingUrgent, fullAtUrgent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := opening{urgent: x.urgent, aim: x.aim, started: now - x.waited}
+			if hop := o.press(now); hop != x.hop || limitOf(hop) != x.belowAt {
+				t.Errorf("hop %d, limit %v", hop, limitOf(hop))
+			}
+		})
+	}
+}
+
+// Deadlines of two lengths stand in one queue. One that was put at the end though
+// it was due first kept openings waiting behind the others.
+func TestDeadlinesComeInOrder(t *testing.T) {
+	x := newOpenings()
+	var ids []uint32
+	for _, at := range []time.Duration{60, 100, 40, 70, 10} {
+		o := x.add()
+		x.wake(o, at)
+		ids = append(ids, o.id)
+	}
+	for _, want := range []int{4, 2, 0, 3, 1} {
+		if x.due() == 0 || x.queue[0].id != ids[want] {
+			t.Fatalf("queue %v", x.queue)
+		}
+		x.get(ids[want]).deadline = 0
+	}
+}
--- a/datagram/walk.go
+++ b/datagram/walk.go
@@ -1,6 +1,10 @@
 package datagram
 
-import "time"
+import (
+	"time"
+
+	"pomeloway.example/pomeloway/events"
+)
 
 // A walk finds the agent of a flow that the balancer does not remember. It asks the
 // agents that are heard one after another, in the order of a hash that all
@@ -57,7 +61,7 @@
 			b.send(m, Message{Kind: KindPacket, Hop: hopFinal, Flags: h.Flags, Start: a.ip, Service: a.status.Service}, a.ip)
 		}
 	})
-	b.Log.decide(decision{event: eventNotFound, flow: k.Flow, hop: h.Hop, agent: h.Start, version: b.Configured()}, now)
+	b.Log.decide(decision{event: events.FlowNotFound, flow: k.Flow, hop: h.Hop, agent: h.Start, version: b.Configured()}, now)
 	if k.Reset {
 		return
 	}
@@ -67,7 +71,7 @@
 	}
 	b.flows.remove(k.Flow)
 	b.Count.Cut++
-	b.Log.decide(decision{event: eventCut, flow: k.Flow, reason: ReasonNotFound, hop: h.Hop, version: b.Configured()}, now)
+	b.Log.decide(decision{event: events.FlowCut, flow: k.Flow, reason: ReasonNotFound, hop: h.Hop, version: b.Configured()}, now)
 	b.reset(k.Flow, k.Number)
 }
 
--- a/node/agent.go
+++ b/node/agent.go
@@ -157,12 +157,9 @@
 // leave waits for the end and tells balancers of it. The record goes with an
 // upstream that has gone; an agent that is only restarted keeps it.
 func (a *Agent) leave(stopped context.Context) error {
-	select {
-	case <-stopped.Done():
-	case <-a.ctx.Done():
+	if !a.awaitStop(stopped, a.ctx) {
 		return nil
 	}
-	a.log.Add(events.Draining)
 	var s datagram.UpstreamState
 	if !a.loop.do(a.ctx, func(now time.Duration) { s = a.agent.State(); a.agent.Leave(now) }) {
 		return nil
--- a/node/options.go
+++ b/node/options.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -73,6 +74,18 @@
 	return b, nil
 }
 
+// awaitStop waits until the program is told to stop, and logs that. It is false if the
+// program ended before.
+func (b *base) awaitStop(stopped, ended context.Context) bool {
+	select {
+	case <-stopped.Done():
+		b.log.Add(events.Draining)
+		return true
+	case <-ended.Done():
+		return false
+	}
+}
+
 func (b *base) self() datagram.IP { return datagram.IPOf(b.settings.IP) }
 
 // record is what the store keeps of this process.
