--- a/cli/options.go
+++ b/cli/options.go
@@ -11,6 +11,7 @@
 	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/capacity"
 	"pomeloway.example/pomeloway/demo"
+	"pomeloway.example/pomeloway/experiment"
 	"pomeloway.example/pomeloway/node"
 	"pomeloway.example/pomeloway/program"
 )
@@ -35,10 +36,11 @@
 
 	Explain ExplainOptions `cmd:"" help:"Join logs into the story of one request or flow." group:"Operators"`
 
-	Demo    demo.Options     `cmd:"" help:"Run a whole site on loopback and break it." group:"Trials"`
-	Bench   capacity.Options `cmd:"" help:"Measure how state, traffic and processor time grow with size." group:"Trials"`
-	Call    CallOptions      `cmd:"" help:"Make one request as a caller." group:"Trials"`
-	Standin StandinOptions   `cmd:"" help:"Run a stand-in for the platform, the fabric or an upstream." group:"Trials"`
+	Demo       demo.Options       `cmd:"" help:"Run a whole site on loopback and break it." group:"Trials"`
+	Experiment experiment.Options `cmd:"" help:"Play days of a datagram service in memory: faults from a script, policies side by side." group:"Trials"`
+	Bench      capacity.Options   `cmd:"" help:"Measure how state, traffic and processor time grow with size." group:"Trials"`
+	Call       CallOptions        `cmd:"" help:"Make one request as a caller." group:"Trials"`
+	Standin    StandinOptions     `cmd:"" help:"Run a stand-in for the platform, the fabric or an upstream." group:"Trials"`
 
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
--- a/cli/run.go
+++ b/cli/run.go
@@ -15,6 +15,7 @@
 	"pomeloway.example/pomeloway/bundle"
 	"pomeloway.example/pomeloway/capacity"
 	"pomeloway.example/pomeloway/demo"
+	"pomeloway.example/pomeloway/experiment"
 	"pomeloway.example/pomeloway/node"
 	"pomeloway.example/pomeloway/operator"
 	"pomeloway.example/pomeloway/program"
@@ -106,6 +107,8 @@
 		return runExplain(o.Explain, s)
 	case "demo":
 		return runDemo(ctx, o.Demo, s)
+	case "experiment":
+		return runExperiment(ctx, o.Experiment, s)
 	case "bench":
 		return capacity.Run(ctx, o.Bench, s.errs, s.out)
 	case "call <address> <url>":
@@ -136,6 +139,12 @@
 	return demo.Run(ctx, o, s.errs, s.out)
 }
 
+func runExperiment(ctx context.Context, o experiment.Options, s streams) error {
+	ctx, stop := signalContext(ctx)
+	defer stop()
+	return experiment.Run(ctx, o, s.out)
+}
+
 // exitCode prints the error and returns the code that tells it apart.
 func exitCode(err error, w io.Writer) int {
 	var f bundle.Findings
@@ -153,7 +162,7 @@
 		return exitUnknown
 	case errors.Is(err, operator.ErrNotAccepted):
 		return exitNotAccepted
-	case errors.Is(err, demo.ErrBroken):
+	case errors.Is(err, demo.ErrBroken), errors.Is(err, experiment.ErrBroken):
 		return exitBroken
 	case errors.Is(err, os.ErrNotExist):
 		return exitUsage
--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -1,6 +1,8 @@
 package datagram
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pomeloway.example/pomeloway/fleet"
@@ -90,7 +92,8 @@
 
 func (x *agents) index() {
 	clear(x.byService)
-	for _, a := range x.byIP {
+	for _, ip := range slices.Sorted(maps.Keys(x.byIP)) {
+		a := x.byIP[ip]
 		x.byService[a.status.Service] = append(x.byService[a.status.Service], a)
 	}
 }
--- a/datagram/absence_test.go
+++ b/experiment/absence_test.go
@@ -1,4 +1,4 @@
-package datagram_test
+package experiment
 
 import (
 	"testing"
@@ -14,7 +14,7 @@
 		v := w.agentsInOrder()[seed%7]
 		v.u.crash()
 		w.run(w.now + 5*time.Second)
-		w.check()
+		w.check(t)
 		if w.failed > 0 {
 			t.Errorf("seed %d: %d of %d requests failed", seed, w.failed, w.answered+w.failed)
 		}
@@ -33,6 +33,6 @@
 			v.u.start()
 			w.run(w.now + 700*time.Millisecond)
 		}
-		w.check()
+		w.check(t)
 	}
 }
--- a/datagram/caller_test.go
+++ b/experiment/caller.go
@@ -1,4 +1,4 @@
-package datagram_test
+package experiment
 
 import (
 	"time"
@@ -45,6 +45,7 @@
 	}
 	c.request++
 	c.began, c.waiting = c.w.now, true
+	c.w.second(c.began).Begun++
 	if c.w.mark > 0 && c.w.now >= c.w.mark {
 		c.w.begun++
 	}
@@ -52,6 +53,7 @@
 	c.w.after(c.deadline, func() {
 		if c.waiting && c.request == n {
 			c.w.failed++
+			c.w.second(c.began).Failed++
 			if own := c.w.holders[c.flow()]; c.open && own != nil && own.alive && c.w.mark > 0 && c.began >= c.w.mark {
 				c.w.stranded++
 			}
@@ -126,14 +128,24 @@
 		c.close()
 		c.dial()
 	case p.Length > 0 && c.open && c.waiting:
-		d := c.w.now - c.began
-		c.w.waits = append(c.w.waits, d)
-		if c.w.answered++; d > c.aim {
-			c.w.late++
-		} else if c.w.mark > 0 && c.began >= c.w.mark && c.began < c.w.mark+time.Second {
-			c.w.inAim++
-		}
+		c.answered(c.w.now - c.began)
 		c.seq += 100
 		c.end()
 	}
 }
+
+// answered counts an answer that took so long.
+func (c *caller) answered(d time.Duration) {
+	w := c.w
+	w.waits = append(w.waits, d)
+	w.answered++
+	if d > c.aim {
+		w.late++
+		w.second(c.began).Late++
+		return
+	}
+	w.second(c.began).InAim++
+	if w.mark > 0 && c.began >= w.mark && c.began < w.mark+time.Second {
+		w.inAim++
+	}
+}
--- a/datagram/churn_test.go
+++ b/experiment/churn_test.go
@@ -1,4 +1,4 @@
-package datagram_test
+package experiment
 
 import (
 	"fmt"
@@ -15,7 +15,11 @@
 }
 
 func newSite(t *testing.T, seed uint64, balancers, agents, callers int, p datagram.Placement, busyAt float64) *world {
-	w := newWorld(t, seed)
+	t.Helper()
+	w, err := newWorld(seed)
+	if err != nil {
+		t.Fatal(err)
+	}
 	w.placement, w.busyAt = p, busyAt
 	for i := range balancers {
 		w.addBalancer(i)
@@ -32,17 +36,17 @@
 	return w
 }
 
-func (w *world) check() {
-	w.t.Helper()
+func (w *world) check(t *testing.T) {
+	t.Helper()
 	if len(w.breaches) > 0 {
-		w.t.Errorf("%d breaches, first %s", len(w.breaches), w.breaches[0])
+		t.Errorf("%d breaches, first %s", len(w.breaches), w.breaches[0])
 	}
 }
 
 func TestCalmSiteServesEverybody(t *testing.T) {
 	w := site(t, 1, 4, 7, 100)
 	w.run(30 * time.Second)
-	w.check()
+	w.check(t)
 	if w.answered < 2000 || w.failed > 0 || w.late > 0 {
 		t.Errorf("answered %d, late %d, failed %d", w.answered, w.late, w.failed)
 	}
@@ -62,7 +66,7 @@
 				w.run(w.now + 300*time.Millisecond)
 			}
 		}
-		w.check()
+		w.check(t)
 	}
 }
 
@@ -78,26 +82,13 @@
 		w.run(w.now + 2500*time.Millisecond)
 		failed := w.failed
 		w.run(w.now + 5*time.Second)
-		w.check()
+		w.check(t)
 		if n := w.failed - failed; n > 0 {
 			t.Errorf("seed %d: %d requests failed that began after the return", seed, n)
 		}
 	}
 }
 
-// powerLoss stops everything for d; each VM starts within 0.3 s then.
-func (w *world) powerLoss(d time.Duration) {
-	for _, v := range w.balancersInOrder() {
-		v.stop()
-		w.after(d+time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), v.start)
-	}
-	for _, v := range w.agentsInOrder() {
-		v.stop()
-		v.u.crash()
-		w.after(d+time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() { v.u.start(); v.start() })
-	}
-}
-
 // Agents are restarted one after another under open feeds: each comes back with
 // no memory, and only its upstream knows the flows. No feed may be cut and none
 // led to another upstream for good.
@@ -111,7 +102,7 @@
 			w.run(w.now + 900*time.Millisecond)
 		}
 		w.run(w.now + 2*time.Second)
-		w.check()
+		w.check(t)
 		if w.failed > w.answered/100 {
 			t.Errorf("seed %d: %d of %d failed", seed, w.failed, w.answered+w.failed)
 		}
@@ -139,7 +130,7 @@
 			n++
 			w.run(w.now + 500*time.Millisecond)
 		}
-		w.check()
+		w.check(t)
 	}
 }
 
@@ -157,7 +148,7 @@
 			w.run(w.now + 300*time.Millisecond)
 		}
 		w.run(w.now + 6*time.Second)
-		w.check()
+		w.check(t)
 		if w.failed > 0 {
 			t.Errorf("seed %d: %d failed", seed, w.failed)
 		}
@@ -180,7 +171,7 @@
 			w.after(time.Duration(n)*300*time.Millisecond, func() { v.b.SetZonesOut(w.out, w.revision, w.now-v.since) })
 		}
 		w.run(w.now + 10*time.Second)
-		w.check()
+		w.check(t)
 		failed := w.failed
 		w.run(w.now + 5*time.Second)
 		if w.failed > failed {
@@ -203,7 +194,7 @@
 			}
 			w.run(w.now + 700*time.Millisecond)
 		}
-		w.check()
+		w.check(t)
 	}
 }
 
@@ -219,7 +210,7 @@
 	w.run(w.now + 2500*time.Millisecond) // its own flows end in this time
 	late, failed := w.late, w.failed
 	w.run(w.now + 10*time.Second)
-	w.check()
+	w.check(t)
 	if w.late > late+w.answered/500 || w.failed > failed {
 		t.Errorf("%d late and %d failed of %d after the death", w.late-late, w.failed-failed, w.answered)
 	}
--- a/datagram/cutoff_test.go
+++ b/experiment/cutoff_test.go
@@ -1,4 +1,4 @@
-package datagram_test
+package experiment
 
 import (
 	"testing"
@@ -18,7 +18,7 @@
 		w.run(w.now + 1900*time.Millisecond) // 0.85 s, and the deadlines of what was lost
 		failed := w.failed
 		w.run(w.now + 4*time.Second)
-		w.check()
+		w.check(t)
 		if n := w.failed - failed; n > 0 {
 			t.Errorf("seed %d: %d requests failed after that", seed, n)
 		}
--- /dev/null
+++ b/experiment/experiment_test.go
@@ -0,0 +1,127 @@
+package experiment
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const testScript = `
+# everything at once, and then again
+2s power 700ms
+5s lose 1
+6s out zone-1      # and back
+6s burst 50 1s
+8s in zone-1
+8s kill 500ms
+9s crash 1
+9500ms drain 1
+10s cut 1 1s
+10s loss 0.01 1s
+`
+
+func testOptions() Options {
+	return Options{Balancers: 4, Agents: 7, Zones: 3, Callers: 100, Length: 12 * time.Second, Seed: 3, Days: 1}
+}
+
+// On a site on which few balancers are near an agent, agents were listed in the order of
+// a map, and the same seed gave 11,514 requests in one run and 11,529 in another.
+func TestDayOfALargerSiteIsTheSameWithTheSameSeed(t *testing.T) {
+	o := testOptions()
+	o.Balancers, o.Agents, o.Callers = 10, 20, 300
+	fs, err := parseScript(strings.NewReader("1s power 1s\n3s lose 2\n4s kill 500ms"), o.Zones)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var totals [3]Second
+	for i := range totals {
+		d, err := o.play(PolicyIdler, 1, fs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		totals[i] = d.Total
+	}
+	if totals[1] != totals[0] || totals[2] != totals[0] {
+		t.Errorf("%+v", totals)
+	}
+}
+
+// A figure that another run does not repeat compares nothing.
+func TestDayIsTheSameWithTheSameSeed(t *testing.T) {
+	o := testOptions()
+	fs, err := parseScript(strings.NewReader(testScript), o.Zones)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := o.play(PolicyIdler, 3, fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		again, err := o.play(PolicyIdler, 3, fs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(first, again) {
+			t.Fatalf("%+v\nand then\n%+v", first.Total, again.Total)
+		}
+	}
+	if len(first.Breaches) > 0 {
+		t.Errorf("breaches: %v", first.Breaches)
+	}
+	if x := first.Total; x.Begun < 1000 || x.InAim+x.Late+x.Failed > x.Begun || first.Resets == 0 {
+		t.Errorf("%+v, %d resets", x, first.Resets)
+	}
+	if len(first.Seconds) != 12 || first.ControlMost < first.ControlMean || first.ControlMean == 0 {
+		t.Errorf("%d seconds, control %d and %d", len(first.Seconds), first.ControlMost, first.ControlMean)
+	}
+}
+
+// Whoever writes a script wrongly is told all that is wrong, with the lines.
+func TestScriptFindings(t *testing.T) {
+	for name, x := range map[string]struct{ text, want string }{
+		"no fault":     {"1s powr 1s", `line 1: "powr" is no fault`},
+		"no time":      {"\nsoon kill 1s", `line 2: "soon" is no duration`},
+		"no number":    {"1s lose 0", `line 1: "0" is no number above 0`},
+		"no share":     {"1s loss 2 1s", `line 1: "2" is no share`},
+		"not a number": {"1s loss NaN 1s", `line 1: "NaN" is no share`},
+		"no zone":      {"1s out zone-7", `line 1: "zone-7" is no availability zone`},
+		"too little":   {"1s cut 1", "line 1: something is missing"},
+		"too much":     {"1s drain 1 1", `line 1: "1" is too much`},
+		"nothing":      {"1s", "line 1: something is missing"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := parseScript(strings.NewReader(x.text), 3)
+			if err == nil || !strings.Contains(err.Error(), x.want) {
+				t.Errorf("%v, want %s", err, x.want)
+			}
+		})
+	}
+}
+
+func TestOptionsNameWhatIsWrong(t *testing.T) {
+	o := Options{Policy: []Policy{"odd"}}
+	err := o.Validate()
+	for _, f := range []string{"--balancers", "--agents", "--zones", "--length", "--days", "--policy"} {
+		if err == nil || !strings.Contains(err.Error(), f) {
+			t.Errorf("%v does not name %s", err, f)
+		}
+	}
+	o = testOptions()
+	if err := o.Validate(); err != nil {
+		t.Error(err)
+	}
+}
+
+func FuzzScript(f *testing.F) {
+	f.Add(testScript)
+	f.Fuzz(func(t *testing.T, text string) {
+		fs, err := parseScript(strings.NewReader(text), 3)
+		for _, x := range fs {
+			if err == nil && x.do == nil {
+				t.Errorf("%+v does nothing", x)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/experiment/faults.go
@@ -0,0 +1,84 @@
+package experiment
+
+import (
+	"time"
+
+	"pomeloway.example/pomeloway/datagram"
+)
+
+// powerLoss stops everything for d; each VM starts within 0.3 s then.
+func (w *world) powerLoss(d time.Duration) {
+	for _, v := range w.balancersInOrder() {
+		v.stop()
+		w.after(d+time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), v.start)
+	}
+	for _, v := range w.agentsInOrder() {
+		v.stop()
+		v.u.crash()
+		w.after(d+time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() { v.u.start(); v.start() })
+	}
+}
+
+// killAll ends every process; upstreams live on, and processes are back after d.
+func (w *world) killAll(d time.Duration) {
+	for _, v := range w.balancersInOrder() {
+		v.stop()
+		w.after(d, v.start)
+	}
+	for _, v := range w.agentsInOrder() {
+		v.stop()
+		w.after(d, v.start)
+	}
+}
+
+// each does something to n agents' VMs that live, of different places in the order of
+// addresses, so that a day hits several availability zones.
+func (w *world) each(n int, do func(*agentVM)) {
+	var live []*agentVM
+	for _, v := range w.agentsInOrder() {
+		if v.up && v.u.alive && !v.u.draining {
+			live = append(live, v)
+		}
+	}
+	for i := range min(n, len(live)) {
+		do(live[i*len(live)/min(n, len(live))])
+	}
+}
+
+// lose takes the VM away for good.
+func (v *agentVM) lose() {
+	v.stop()
+	v.u.crash()
+}
+
+// crash ends the upstream alone.
+func (v *agentVM) crash() { v.u.crash() }
+
+// drain has the upstream say with its next heartbeat that it leaves.
+func (v *agentVM) drain() { v.u.draining = true }
+
+// cutOff cuts n balancers off from all VMs but each other, for d.
+func (w *world) cutOff(n int, d time.Duration) {
+	w.cut = map[datagram.IP]bool{}
+	for i, v := range w.balancersInOrder() {
+		if i < n {
+			w.cut[v.ip] = true
+		}
+	}
+	w.after(d, func() { w.cut = nil })
+}
+
+// burst adds n callers for d.
+func (w *world) burst(n int, d time.Duration) {
+	first := len(w.callers)
+	for i := range n {
+		c := w.addCaller(first+i, callerPause)
+		w.after(d, func() { c.stopped = true })
+	}
+}
+
+// lossy loses a share of the datagrams between VMs for d.
+func (w *world) lossy(share float64, d time.Duration) {
+	w.loss = share
+	w.after(d, func() { w.loss = 0 })
+}
--- a/datagram/load_test.go
+++ b/experiment/load_test.go
@@ -1,4 +1,4 @@
-package datagram_test
+package experiment
 
 import (
 	"testing"
@@ -24,7 +24,7 @@
 			w.run(w.mark + time.Second)
 			o.begun += w.begun
 			w.run(w.now + 200*time.Millisecond)
-			w.check()
+			w.check(t)
 			o.inAim += w.inAim
 			o.shed += w.shed - shed
 		}
--- a/datagram/search_test.go
+++ b/experiment/search_test.go
@@ -1,4 +1,4 @@
-package datagram_test
+package experiment
 
 import (
 	"testing"
@@ -7,18 +7,6 @@
 	"pomeloway.example/pomeloway/datagram"
 )
 
-// killAll ends every process; upstreams live on, and processes are back after d.
-func (w *world) killAll(d time.Duration) {
-	for _, v := range w.balancersInOrder() {
-		v.stop()
-		w.after(d, v.start)
-	}
-	for _, v := range w.agentsInOrder() {
-		v.stop()
-		w.after(d, v.start)
-	}
-}
-
 // An upstream was taken away and its VM stayed. Then all processes were killed:
 // the agent there came back beside no upstream, gave it packets that balancers
 // were looking a place for, and none came back. Half of all boards stayed empty
@@ -33,7 +21,7 @@
 		w.mark = w.now + 600*time.Millisecond
 		w.killAll(500 * time.Millisecond)
 		w.run(w.now + 6*time.Second)
-		w.check()
+		w.check(t)
 		if w.stranded > 0 {
 			t.Errorf("seed %d: %d requests failed on flows whose upstreams live", seed, w.stranded)
 		}
@@ -56,7 +44,7 @@
 		v.stop()
 		v.u.crash()
 		w.run(w.now + 4*time.Second)
-		w.check()
+		w.check(t)
 		if w.stranded > 0 {
 			t.Errorf("seed %d: %d requests failed on flows whose upstreams live", seed, w.stranded)
 		}
@@ -96,7 +84,7 @@
 		v.stop()
 		v.u.crash()
 		w.run(w.now + 8*time.Second)
-		w.check()
+		w.check(t)
 		if w.failed > 0 {
 			t.Errorf("seed %d: %d of %d requests failed", seed, w.failed, w.answered+w.failed)
 		}
@@ -111,7 +99,7 @@
 		v := w.agentsInOrder()[seed%7]
 		w.mute = map[datagram.IP]bool{v.ip: true}
 		w.run(w.now + 8*time.Second)
-		w.check()
+		w.check(t)
 		if w.failed > 0 {
 			t.Errorf("seed %d: %d of %d requests failed", seed, w.failed, w.answered+w.failed)
 		}
--- a/datagram/upstream_standin_test.go
+++ b/experiment/upstream.go
@@ -1,4 +1,4 @@
-package datagram_test
+package experiment
 
 import (
 	"encoding/binary"
--- a/datagram/world_test.go
+++ b/experiment/world.go
@@ -1,4 +1,4 @@
-package datagram_test
+package experiment
 
 import (
 	"cmp"
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"pomeloway.example/pomeloway/datagram"
@@ -20,7 +19,6 @@
 // a router, upstreams and callers as stand-ins, and a clock that jumps from one
 // event to the next. It notes every breach of what callers were promised.
 type world struct {
-	t         *testing.T
 	seed      uint64
 	rng       *rand.Rand
 	now       time.Duration
@@ -53,10 +51,28 @@
 	heard        map[datagram.IP]int // bytes of control messages, with their headers
 	waits        []time.Duration
 	breaches     []string
+	// dayStart is when the day began; what callers get is counted by second from then.
+	dayStart time.Duration
+	seconds  []Second
 }
 
+// second returns the counts of the second in which a request began.
+func (w *world) second(began time.Duration) *Second {
+	if w.dayStart == 0 || began < w.dayStart {
+		return &Second{}
+	}
+	n := int((began - w.dayStart) / time.Second)
+	for len(w.seconds) <= n {
+		w.seconds = append(w.seconds, Second{})
+	}
+	return &w.seconds[n]
+}
+
+// event is what happens at a time. Of those at the same time the one with the lower key
+// is first, and then the one that was planned first.
 type event struct {
 	at  time.Duration
+	key uint64
 	seq int
 	do  func()
 }
@@ -66,7 +82,7 @@
 func (q eventQueue) Len() int { return len(q) }
 
 func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].key, q[j].key), cmp.Compare(q[i].seq, q[j].seq)) < 0
 }
 
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
@@ -91,13 +107,16 @@
 	worldKey     = datagram.ServiceKeyOf(worldService)
 )
 
-func newWorld(t *testing.T, seed uint64) *world {
-	r, err := keyring.Parse([]string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"})
+// worldKeyring tags the messages of all processes; nobody else is there to read it.
+const worldKeyring = "1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"
+
+func newWorld(seed uint64) (*world, error) {
+	r, err := keyring.Parse([]string{worldKeyring})
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	w := &world{
-		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), keys: link.NewKeys(r), revision: 1,
+		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), keys: link.NewKeys(r), revision: 1,
 		balancers: map[datagram.IP]*balancerVM{}, agents: map[datagram.IP]*agentVM{}, callers: map[datagram.IP]*caller{},
 		holders: map[datagram.Flow]*upstream{}, astray: map[datagram.Flow]*astray{},
 	}
@@ -107,12 +126,14 @@
 		Services:    map[datagram.ServiceKey]datagram.Service{worldKey: {Name: worldService}},
 		IdleTimeout: worldIdle,
 	}
-	return w
+	return w, nil
 }
 
-func (w *world) after(d time.Duration, f func()) {
+func (w *world) after(d time.Duration, f func()) { w.afterAs(d, 0, f) }
+
+func (w *world) afterAs(d time.Duration, key uint64, f func()) {
 	w.seq++
-	heap.Push(&w.queue, event{w.now + d, w.seq, f})
+	heap.Push(&w.queue, event{w.now + d, key, w.seq, f})
 }
 
 func (w *world) run(until time.Duration) {
@@ -137,7 +158,9 @@
 		return
 	}
 	c := append([]byte(nil), b...)
-	w.after(200*time.Microsecond+time.Duration(x>>32%1400)*time.Microsecond, func() { f(c) })
+	// Many datagrams arrive at one microsecond; their order is not that of sending,
+	// which follows maps.
+	w.afterAs(200*time.Microsecond+time.Duration(x>>32%1400)*time.Microsecond, x, func() { f(c) })
 }
 
 func (w *world) breach(what string) { w.breaches = append(w.breaches, w.now.String()+": "+what) }
