--- a/experiment/world.go
+++ b/experiment/world.go
@@ -174,6 +174,7 @@
 	b     *datagram.Balancer
 	up    bool
 	since time.Duration
+	due   time.Duration // when it is called next
 	life  int
 }
 
@@ -239,7 +240,7 @@
 
 func (v *balancerVM) start() {
 	w := v.w
-	v.up, v.since, v.life = true, w.now, v.life+1
+	v.up, v.since, v.life, v.due = true, w.now, v.life+1, 0
 	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.Packets{}, Out: v, Keys: w.keys, Placement: w.placement}
 	v.b.Start()
 	life := v.life
@@ -257,21 +258,19 @@
 
 func (v *balancerVM) stop() { v.up, v.life = false, v.life+1 }
 
+// arm runs what is due at the balancer, and again when it next wants to be called. One
+// call is planned at a time; one that another came before is void.
 func (v *balancerVM) arm() {
-	life := v.life
-	at := v.b.Tick(v.w.now - v.since)
-	v.w.after(max(at-(v.w.now-v.since), time.Millisecond), func() {
-		if v.life == life {
-			v.tick(life)
-		}
-	})
-}
-
-func (v *balancerVM) tick(life int) {
-	at := v.b.Tick(v.w.now - v.since)
-	v.w.after(max(at-(v.w.now-v.since), time.Millisecond), func() {
-		if v.life == life {
-			v.tick(life)
+	w, life := v.w, v.life
+	now := w.now - v.since
+	at := v.since + max(v.b.Tick(now), now+time.Millisecond)
+	if v.due > w.now && v.due <= at {
+		return
+	}
+	v.due = at
+	w.after(at-w.now, func() {
+		if v.life == life && v.due == at {
+			v.arm()
 		}
 	})
 }
