Look around for a cut each 50 ms, not after every packet

Cause: read in the diff: the loop asks after each packet whether the balancer is ready, and since it may be cut off that went through all other balancers each time. Change: Tick notes at most each 50 ms whether it is cut off, and Ready reads that; the rule, its bounds and its tests are as before.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -42,6 +42,8 @@
 	leaving      bool
 	settled      bool          // the records were read in this life
 	atWork, woke time.Duration // when this process last did something, and when after a pause
+	lookedAround time.Duration
+	isolated     bool // when it looked around last, it was cut off
 	agents       agents
 	peers        map[IP]*peerView
 	shown        int // peers shown to others so far
@@ -156,8 +158,8 @@
 }
 
 // Ready reports whether the balancer can serve callers.
-func (b *Balancer) Ready(now time.Duration) bool {
-	return !b.leaving && b.config != nil && len(b.agents.byIP) > 0 && !b.cutOffFromAny(now)
+func (b *Balancer) Ready() bool {
+	return !b.leaving && b.config != nil && len(b.agents.byIP) > 0 && !b.isolated
 }
 
 // HandleCaller takes the datagram at m[HeaderLen:] that a caller sent.
@@ -233,6 +235,7 @@
 // Tick does what is due and returns when it wants to be called again.
 func (b *Balancer) Tick(now time.Duration) time.Duration {
 	b.noticePause(now)
+	b.lookAround(now)
 	b.retry(now)
 	b.walkAgain(now)
 	b.flows.tick(now)
--- a/datagram/cutoff.go
+++ b/datagram/cutoff.go
@@ -28,6 +28,17 @@
 	return b.blind(s, now) && b.lonely(now)
 }
 
+// lookAroundEvery spaces the looks at whether the balancer is cut off. Each is at all
+// other balancers, which may be hundreds, and what is due is asked after every packet.
+const lookAroundEvery = 50 * time.Millisecond
+
+// lookAround notes whether the balancer is cut off from the agents of any service.
+func (b *Balancer) lookAround(now time.Duration) {
+	if now-b.lookedAround >= lookAroundEvery {
+		b.lookedAround, b.isolated = now, b.cutOffFromAny(now)
+	}
+}
+
 // cutOffFromAny reports whether it is cut off from the agents of any service.
 func (b *Balancer) cutOffFromAny(now time.Duration) bool {
 	if !b.lonely(now) {
--- a/datagram/observe.go
+++ b/datagram/observe.go
@@ -50,7 +50,7 @@
 func (b *Balancer) Status(now time.Duration) BalancerState {
 	s := BalancerState{
 		Counts: b.Count, Version: b.Configured(), Revision: b.revision, ZonesOut: len(b.out), Flows: b.flows.len(),
-		Agents: len(b.agents.byIP), Balancers: len(b.peers), Ready: b.Ready(now),
+		Agents: len(b.agents.byIP), Balancers: len(b.peers), Ready: b.Ready(),
 	}
 	for _, a := range b.agents.byIP {
 		if a.reachable(now) {
--- a/experiment/cutoff_test.go
+++ b/experiment/cutoff_test.go
@@ -24,7 +24,7 @@
 		}
 		w.cut = nil
 		w.run(w.now + time.Second)
-		if !v.b.Ready(w.now - v.since) {
+		if !v.b.Ready() {
 			t.Errorf("seed %d: it is not ready after the cut", seed)
 		}
 	}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -340,7 +340,7 @@
 	var best *balancerVM
 	var top uint64
 	for _, v := range w.balancers {
-		if s := fleet.Mix(uint64(f.Caller.IP)<<16|uint64(f.Caller.Port), uint64(v.ip)); v.up && v.b.Ready(w.now-v.since) && (best == nil || s > top) {
+		if s := fleet.Mix(uint64(f.Caller.IP)<<16|uint64(f.Caller.Port), uint64(v.ip)); v.up && v.b.Ready() && (best == nil || s > top) {
 			best, top = v, s
 		}
 	}
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -97,7 +97,7 @@
 
 func (b *Balancer) tick(now time.Duration) time.Duration {
 	at := b.balancer.Tick(now)
-	b.ready.Store(b.balancer.Ready(now))
+	b.ready.Store(b.balancer.Ready())
 	if now-b.chosen >= datagram.StatusEvery {
 		// Not at each packet: it sorts the balancers, and they change with statuses.
 		b.chosen = now
