Hold a broken request's slot until its upstream has stopped

Cause: when a caller went away in mid-request, the agent gave the slot back at once, while the upstream noticed the closed connection some time later. Traced with the upstream's own record at the moment of the overlap: uploads that had been running for 1 to 2 s, broken off as the availability zone moved, still ran beside the request that got their slot. Ruled out: crossed answers (each handler ends before its answer is handed over).

Change: connections close in one direction first and linger until the upstream closes the other; the slot goes back then. Over HTTP/2 nothing proves the end of one request; there the slot goes back at once, as before.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -193,7 +193,12 @@
 	if ctx.Err() != nil || tooLarge {
 		sign.Kind = upstream.SignNone // the caller's doing
 	}
-	d.release(sign)
+	var u *upstream.UnfinishedError
+	if errors.As(err, &u) {
+		d.releaseAfter(u.Ended, sign)
+	} else {
+		d.release(sign)
+	}
 	d.running.Add(-1)
 	if tooLarge {
 		return nil, refuseTooLarge(OutcomeUnknown)
@@ -223,22 +228,38 @@
 	if feed {
 		d.release(sign) // a feed has started and now mostly waits
 	}
+	body := a.Body // an order's answer is read into another one
 	return &answer{Response: a, end: func(err error) {
 		d.running.Add(-1)
-		a.Body.Close()
+		body.Close()
 		if feed {
 			return
 		}
-		if err != nil {
-			sign.Kind = upstream.SignBad
-			if ctx.Err() != nil {
-				sign.Kind = upstream.SignNone
-			}
+		if err == nil {
+			d.release(sign)
+			return
 		}
-		d.release(sign)
+		sign.Kind = upstream.SignBad
+		if ctx.Err() != nil {
+			sign.Kind = upstream.SignNone
+		}
+		d.releaseAfter(upstream.Ended(body), sign)
 	}}
 }
 
+// releaseAfter gives the slot of a request that was broken off back when its upstream
+// has stopped working on it, or at once if that can't be known.
+func (d *dispatcher) releaseAfter(ended <-chan struct{}, s upstream.Sign) {
+	if ended == nil {
+		d.release(s)
+		return
+	}
+	go func() {
+		<-ended
+		d.release(s)
+	}()
+}
+
 func (d *dispatcher) release(s upstream.Sign) {
 	cold, warm := d.gate.Release(s)
 	if cold {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -94,7 +94,7 @@
 func NewClient(a netip.AddrPort, p Protocol) *Client {
 	d := net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{
-		DialContext:            d.DialContext,
+		DialContext:            lingering(&d),
 		MaxIdleConnsPerHost:    idleMost,
 		IdleConnTimeout:        idleFor,
 		MaxResponseHeaderBytes: headerMost,
@@ -170,20 +170,25 @@
 // exchange makes the round trip. The answer may turn out to be another
 // request's, so it outlives the request's context once it is handed over.
 func (c *Client) exchange(r *http.Request) (*answer, error) {
-	var sent atomic.Bool
+	var used atomic.Pointer[httptrace.GotConnInfo]
 	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
 	detach := context.AfterFunc(r.Context(), cancel)
 	a, err := c.tr.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) { used.Store(&i) },
 	})))
+	conn := used.Load()
 	if err != nil {
 		cancel()
-		if !sent.Load() {
+		if conn == nil {
 			return nil, eris.Wrap(ErrNotRun, err.Error())
 		}
-		return nil, err
+		return nil, &UnfinishedError{err, endOf(conn.Conn)}
+	}
+	b := &body{ReadCloser: a.Body, cancel: cancel}
+	if conn != nil {
+		b.ended = endOf(conn.Conn)
 	}
-	a.Body = &body{ReadCloser: a.Body, cancel: cancel}
+	a.Body = b
 	return &answer{Response: a, detach: detach}, nil
 }
 
@@ -198,6 +203,26 @@
 type body struct {
 	io.ReadCloser
 	cancel context.CancelFunc
+	ended  <-chan struct{}
+	whole  bool
+}
+
+// Read reads the answer's body and notes its end.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.whole = b.whole || err == io.EOF
+	return n, err
+}
+
+// Ended returns the channel that is closed when the upstream has stopped working on a
+// request whose answer's body was closed before its end; nil if it has stopped, or if
+// that can't be known.
+func Ended(answer io.ReadCloser) <-chan struct{} {
+	b, ok := answer.(*body)
+	if !ok || b.whole {
+		return nil
+	}
+	return b.ended
 }
 
 // Close closes the body and cancels what is left of the exchange.
