--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -43,6 +43,8 @@
 
 	upstream  upstream
 	balancers map[IP]*balancerView
+	homes     homeSet
+	homesTell time.Duration // when all are to be told of another set; 0: never
 	zoneOut   bool
 	outSince  time.Duration
 	revision  uint64
@@ -74,6 +76,8 @@
 	life        Life
 	heard, told time.Duration
 	greeted     bool // it was told last by a greeting
+	// entries are flows that it was told of in this epoch.
+	epoch, entries uint32
 }
 
 const (
@@ -126,7 +130,7 @@
 func (a *Agent) greet(ip IP, now time.Duration) {
 	b := a.balancers[ip]
 	b.told, b.greeted = now, true
-	a.Out.ToProcess(ip, a.statusMessage(now, greetEvery))
+	a.Out.ToProcess(ip, a.statusMessage(b, now, greetEvery))
 }
 
 // Announce takes in what the upstream says of itself and reports whether it may
@@ -185,6 +189,11 @@
 		a.packet(from, h, m, now)
 	case KindBalancer:
 		a.hearBalancer(from, p, now)
+	case KindResend:
+		if a.balancers[from] != nil {
+			a.enterAgain(from)
+			a.greet(from, now)
+		}
 	}
 }
 
@@ -200,6 +209,8 @@
 		// It has just started and knows no agent: it would pass over this one, and
 		// could tell nobody that a flow is gone, until the next status.
 		b.life = s.Life
+		a.updateHomes(from, now)
+		a.enterAgain(from)
 		a.greet(from, now)
 	}
 	a.agents = int(s.Agents)
@@ -235,6 +246,11 @@
 	if now-a.counted >= recountEvery {
 		a.counted = now
 		a.recount(now)
+		a.refresh(now)
+	}
+	if a.homesTell != 0 && now >= a.homesTell {
+		a.homesTell = 0
+		a.tell(now)
 	}
 	if now-a.status >= StatusEvery {
 		a.tellThose(now, nearEvery(a.agents, len(a.balancers)), farEvery(a.agents))
@@ -244,8 +260,13 @@
 				delete(a.balancers, ip)
 			}
 		}
+		a.updateHomes(0, now)
+	}
+	at := min(a.status+StatusEvery, a.probeDue())
+	if a.homesTell != 0 {
+		at = min(at, a.homesTell)
 	}
-	return min(a.status+StatusEvery, a.probeDue())
+	return at
 }
 
 // tell sends the agent's status to all balancers, as something changed.
@@ -256,33 +277,26 @@
 func (a *Agent) tellThose(now, near, far time.Duration) {
 	a.status = now
 	close := nearest(uint64(a.Life), slices.Collect(maps.Keys(a.balancers)), nearCount(a.agents, len(a.balancers)))
-	oftenMessage := a.statusMessage(now, nearEvery(a.agents, len(a.balancers)))
-	a.send(now, near, oftenMessage, func(ip IP) bool { return contains(close, ip) })
-	if len(close) < len(a.balancers) {
-		seldomMessage := a.statusMessage(now, farEvery(a.agents))
-		a.send(now, far, seldomMessage, func(ip IP) bool { return !contains(close, ip) })
-	}
-}
-
-// send sends a message to the balancers for which it is meant and due.
-func (a *Agent) send(now, every time.Duration, m []byte, meant func(IP) bool) {
 	for ip, b := range a.balancers {
-		if !meant(ip) {
-			continue
+		after, every := far, farEvery(a.agents)
+		if contains(close, ip) {
+			after, every = near, nearEvery(a.agents, len(a.balancers))
 		}
-		if now-b.told >= every || b.greeted && now-b.told >= LargeEvery {
+		if now-b.told >= after || b.greeted && now-b.told >= LargeEvery {
 			b.told, b.greeted = now, false
-			a.Out.ToProcess(ip, m)
+			a.Out.ToProcess(ip, a.statusMessage(b, now, every))
 		}
 	}
 }
 
-func (a *Agent) statusMessage(now, every time.Duration) []byte {
+// statusMessage returns the status for one balancer, which is told again within every.
+func (a *Agent) statusMessage(b *balancerView, now, every time.Duration) []byte {
 	a.sequence++
 	s := AgentStatus{
 		Life: a.Life, Sequence: a.sequence, Uptime: MillisOf(now), Service: a.Service, Zone: a.Zone,
 		Every: MillisOf(every), State: a.upstream.state, Leaving: a.leaving, Slots: uint16(a.upstream.slots),
 		Flows: uint16(max(0, min(a.open, 1<<16-1))), UnderWay: uint16(max(0, min(a.underWay, 1<<16-1))),
+		Homes: a.homes.digest, Epoch: b.epoch, Entries: b.entries, KnowsAll: a.knowsAll(now),
 	}
 	if s.State == UpstreamReady && a.upstream.silent(now) {
 		s.State = UpstreamSilent
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -1,6 +1,9 @@
 package datagram
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// silentStatuses, silentLeast and silentDelay are how long an agent may be
@@ -30,6 +33,7 @@
 	// told is when a balancer near the agent said that it is silent; 0: not.
 	told       time.Duration
 	toldStatus time.Duration // when this balancer told the agent its own status
+	introduced time.Duration // and when it did so last for want of balancers
 	work       int           // flows and requests there, by its latest word
 	asked      int           // openings that it has not answered yet
 	// declined is when it said that it is busy, by how pressing the opening was.
@@ -121,10 +125,8 @@
 	if s.Life == a.status.Life {
 		return s.Sequence > a.status.Sequence
 	}
-	for _, l := range a.former {
-		if l != 0 && l == s.Life {
-			return false
-		}
+	if a.wasBefore(s.Life) {
+		return false
 	}
 	return a.heard == 0 || now-s.Uptime.Duration() > a.started
 }
@@ -143,10 +145,7 @@
 // mean is to stay under 1.2.
 const nearLoad = 1.1
 
-// reachable reports whether a packet that the agent does not hold would come back.
-//
-// A walk that leads through a dead agent ends there, and all retransmissions with
-// it, while the flow lives on further down; so silent agents are asked last.
+// reachable reports whether the agent is heard, and so would answer.
 func (a *agentView) reachable(now time.Duration) bool {
 	return a.heard != 0 && a.told == 0 && !a.silent(now)
 }
@@ -174,15 +173,29 @@
 // again. A VM that died long ago may still have its record.
 const unheardAfter = 2 * time.Second
 
+// mayHold reports whether the agent may hold flows.
+func (a *agentView) mayHold(now time.Duration) bool {
+	return a.mayLive(now) || a.reachable(now) && !a.holdsNone()
+}
+
+// wasBefore reports whether the life is an earlier one of the agent.
+func (a *agentView) wasBefore(l Life) bool { return l != 0 && slices.Contains(a.former[:], l) }
+
+// holdsNone reports whether the agent said that it has no upstream with flows.
+func (a *agentView) holdsNone() bool {
+	s := &a.status
+	return s.State == UpstreamGone || s.State == UpstreamAbsent ||
+		s.State == UpstreamUnknown && s.Uptime.Duration() > announcedWithin
+}
+
 // mayLive reports whether a silent agent may still hold flows.
 //
 // Those whose upstream had deregistered, or had not been heard for as long as one
 // that lives needs, hold none. Their VMs are taken away soon after, and callers of
 // quite other upstreams, lost with them in a loss of power, waited for 5 s.
 func (a *agentView) mayLive(now time.Duration) bool {
-	s := &a.status
 	switch {
-	case s.State == UpstreamGone, s.State == UpstreamAbsent, s.State == UpstreamUnknown && s.Uptime.Duration() > announcedWithin:
+	case a.holdsNone():
 		return false
 	case a.heard == 0 && a.told == 0:
 		return now < a.noted+unheardAfter
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -1,7 +1,6 @@
 package datagram
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -32,11 +31,12 @@
 	Placement Placement
 	// Observe takes times, if not nil.
 	Observe observer
+	// LookupRate bounds the messages of lookups a second; 0 means lookupUsual.
+	LookupRate float64
 	// Behind is called when another process has a newer configuration.
 	Behind func(from IP, v Version)
 
 	config       *Configuration
-	former       map[Endpoint][]ServiceKey
 	out          map[ZoneKey]bool
 	revision     uint64
 	leaving      bool
@@ -49,24 +49,26 @@
 	shown        int // peers shown to others so far
 	flows        table[place]
 	openings     openings
-	// unproved are packets whose walks proved nothing, looked at at walkedAgain.
-	unproved    []*unproved
-	walkedAgain time.Duration
-	status      time.Duration
-	scratch     [2048]byte
+	homes        homeSet
+	directory    directory
+	lookups      lookups
+	status       time.Duration
+	scratch      [2048]byte
 }
 
 // BalancerCounts count decisions.
 type BalancerCounts struct {
-	Openings, Opened, Refused, Unanswered, Resets, NoRoute, NoAgent   uint64
-	Packets, Walked, Searched, NotFound, Cut, BadMessages, BadPackets uint64
+	Openings, Opened, Refused, Unanswered, Resets, NoRoute, NoAgent uint64
+	Packets, Lookups, Asked, NotFound, Cut, BadMessages, BadPackets uint64
+	// Entries are flows that this home was told of, Resends requests to be told again,
+	// Located answers to other balancers.
+	Entries, Resends, Located uint64
 }
 
-// place is where a flow is, or is being opened, or since when it is looked for.
+// place is where a flow is, or is being opened.
 type place struct {
 	agent   IP     // 0: not known
 	opening uint32 // 0: it is open
-	looked  Millis // when the search for it began
 	sent    uint32 // the sequence number of the caller's data that came last
 }
 
@@ -75,19 +77,25 @@
 	// long as its flow is used.
 	placesTurn = 30 * time.Second
 	// placesMost bounds the memory of a balancer to some 20 MB; a flow beyond it
-	// costs a walk.
+	// costs a lookup.
 	placesMost = 200_000
 )
 
 // Start prepares the balancer; its exported fields are set before.
 func (b *Balancer) Start() {
-	b.former = map[Endpoint][]ServiceKey{}
 	b.out = map[ZoneKey]bool{}
 	b.agents = newAgents()
 	b.agents.placement, b.agents.zone, b.agents.out = b.Placement, b.Zone, b.out
 	b.peers = map[IP]*peerView{}
 	b.flows = newTable[place](placesTurn, placesMost)
 	b.openings = newOpenings()
+	b.homes = newHomeSet([]IP{b.Self})
+	b.directory = newDirectory()
+	if b.LookupRate == 0 {
+		b.LookupRate = lookupUsual
+	}
+	b.lookups.byFlow = map[Flow]*lookup{}
+	b.lookups.budget.fill(b.LookupRate)
 }
 
 // Configured returns the version in force, 0 before the first.
@@ -106,16 +114,7 @@
 	if b.config != nil && c.Version <= b.config.Version {
 		return false
 	}
-	if b.config != nil {
-		for e, r := range b.config.Routes {
-			ss := r.services(b.former[e])
-			b.former[e] = ss[max(0, len(ss)-formerMost):]
-		}
-	}
 	b.config = c
-	if len(b.former) > formerRoutesMost {
-		maps.DeleteFunc(b.former, func(e Endpoint, _ []ServiceKey) bool { _, stays := c.Routes[e]; return !stays })
-	}
 	return true
 }
 
@@ -177,12 +176,47 @@
 	b.Count.Packets++
 	at, _ := b.flows.get(p.Flow)
 	if ip := b.agentAt(at); ip != 0 {
-		b.send(m, Message{Kind: KindPacket, Start: ip}, ip)
+		b.send(m, Message{Kind: KindPacket}, ip)
 		if !b.unanswered(p, at, ip, now) {
 			return
 		}
 	}
-	b.look(m, p, now)
+	b.look(m, p, 0, now)
+}
+
+// unanswered reports whether the caller repeats itself on a flow whose agent is not
+// heard, so that the flow is to be looked for. Callers do not repeat themselves on the
+// flows of an agent that is only not heard, as packets pass one way alone.
+func (b *Balancer) unanswered(p Packet, at place, ip IP, now time.Duration) bool {
+	if p.Length == 0 {
+		return false
+	}
+	if at.sent != p.Seq {
+		at.sent = p.Seq
+		b.flows.set(p.Flow, at)
+		return false
+	}
+	a := b.agents.byIP[ip]
+	return a == nil || !a.reachable(now)
+}
+
+// notMine takes a packet back from the agent at which its flow was remembered.
+func (b *Balancer) notMine(from IP, m []byte, h Message, now time.Duration) {
+	p, ok := b.Format.Parse(m[HeaderLen:])
+	if !ok {
+		b.Count.BadPackets++
+		return
+	}
+	if at, ok := b.flows.get(p.Flow); ok && at.opening == 0 && at.agent == from {
+		b.flows.remove(p.Flow)
+	}
+	if h.Flags.has(FlagUnsure) {
+		from = 0 // it does not know
+	}
+	b.look(m, p, from, now)
+	if l := b.lookups.byFlow[p.Flow]; l != nil {
+		l.flags |= h.Flags & FlagKnownOnly
+	}
 }
 
 // agentAt returns the agent that a flow is remembered at, or that is being asked to
@@ -225,10 +259,18 @@
 		b.refused(from, h, now)
 	case KindMine:
 		if f, ok := flowFrom(p); ok {
-			b.flows.set(f, place{agent: from})
+			b.found(from, f, now)
 		}
 	case KindNotMine:
 		b.notMine(from, m, h, now)
+	case KindDenied:
+		b.denied(from, h, p, now)
+	case KindEntries:
+		b.hearEntries(from, p)
+	case KindLocate:
+		b.locate(from, p, now)
+	case KindLocated:
+		b.hearLocated(from, h, p, now)
 	}
 }
 
@@ -237,17 +279,20 @@
 	b.noticePause(now)
 	b.lookAround(now)
 	b.retry(now)
-	b.walkAgain(now)
+	b.lookAgain(now)
 	b.flows.tick(now)
+	b.directory.tick(now)
 	if now-b.status >= StatusEvery {
 		b.sayWhoIsSilent(now)
 		b.tellDue(now)
 		b.agents.forget(now)
+		b.forgetLogs()
 		b.forgetPeers(now)
+		b.updateHomes(now)
 	}
 	at := min(b.openings.due(), b.status+StatusEvery)
-	if len(b.unproved) > 0 {
-		at = min(at, b.walkedAgain+unprovedEvery)
+	if len(b.lookups.queue) > 0 {
+		at = min(at, b.lookups.next)
 	}
 	return at
 }
--- a/datagram/bench_test.go
+++ b/datagram/bench_test.go
@@ -39,7 +39,7 @@
 	m := append(plainPacket(plainData, 9), make([]byte, 1000)...)
 	p, _ := plain{}.Parse(m[HeaderLen:])
 	a.flows.set(p.Flow, &flowState{phase: flowOpen, born: 5})
-	h := Message{Kind: KindPacket, Start: 3}
+	h := Message{Kind: KindPacket}
 	h.Put(m, ks[0])
 	return a, m
 }
--- a/datagram/config.go
+++ b/datagram/config.go
@@ -1,7 +1,6 @@
 package datagram
 
 import (
-	"slices"
 	"time"
 
 	"pomeloway.example/pomeloway/fleet"
@@ -74,22 +73,3 @@
 
 // routeSalt keeps the choice of the service apart from that of the agent.
 const routeSalt = 0x726f757465
-
-// services are all that a route has ever led to in this process: flows stay with
-// their upstream when the configuration moves new ones elsewhere.
-func (r Route) services(former []ServiceKey) []ServiceKey {
-	ks := slices.Clone(former)
-	for _, s := range r.Shares {
-		if !slices.Contains(ks, s.Service) {
-			ks = append(ks, s.Service)
-		}
-	}
-	return ks
-}
-
-// formerMost bounds the earlier services that are kept of one route.
-const formerMost = 8
-
-// formerRoutesMost bounds the dropped routes that are remembered for the flows that
-// they opened, to some 2 MB; beyond it all dropped ones are forgotten.
-const formerRoutesMost = 20_000
--- a/datagram/config_test.go
+++ b/datagram/config_test.go
@@ -24,18 +24,13 @@
 	}
 }
 
-// The configuration moves a route to another service. Flows that were opened
-// before must still be looked for at the former one's agents.
-func TestWalksGoToFormerServices(t *testing.T) {
+// Guards against a read that was answered late and would bring an older configuration
+// back.
+func TestConfigurationNeverGoesBack(t *testing.T) {
 	b := &Balancer{}
 	b.Start()
-	at := Endpoint{2, 443}
-	for v, s := range []ServiceKey{7, 8, 9} {
-		b.SetConfiguration(&Configuration{Version: Version(v + 1), Routes: map[Endpoint]Route{at: {Shares: []Share{{s, 1}}}}})
-	}
-	ss := b.config.Routes[at].services(b.former[at])
-	if len(ss) != 3 {
-		t.Errorf("services %v", ss)
+	for v := range Version(3) {
+		b.SetConfiguration(&Configuration{Version: v + 1})
 	}
 	if b.SetConfiguration(&Configuration{Version: 2}) || b.Configured() != 3 {
 		t.Error("an older configuration came back")
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -63,15 +63,20 @@
 	return b
 }
 
+// testSelf is the address of the balancer under test.
+const testSelf IP = 100
+
 // testBalancer has agents 1 to n of service 7, all heard at the time.
 func testBalancer(t *testing.T, n int, now time.Duration) (*Balancer, *sent) {
 	s := newSent(t)
-	b := &Balancer{Format: plain{}, Out: s, Keys: testKeys(t)}
+	b := &Balancer{Self: testSelf, Format: plain{}, Out: s, Keys: testKeys(t)}
 	b.Start()
 	b.SetConfiguration(&Configuration{Version: 1, Routes: map[Endpoint]Route{{2, 443}: {Shares: []Share{{7, 1}}}}})
 	b.settled = true
 	for ip := range IP(n) {
-		b.agents.hear(ip+1, AgentStatus{Life: Life(ip + 1), Sequence: 1, Service: 7, State: UpstreamReady, Slots: 5}, now)
+		b.agents.hear(ip+1, AgentStatus{
+			Life: Life(ip + 1), Sequence: 1, Service: 7, State: UpstreamReady, Slots: 5, KnowsAll: true, Homes: b.homes.digest,
+		}, now)
 	}
 	return b, s
 }
@@ -116,7 +121,7 @@
 		for _, payload := range [][]byte{nil, make([]byte, 5), make([]byte, flowLen), make([]byte, 60), status[HeaderLen:]} {
 			for _, from := range []IP{0, 1, 101, 102} {
 				m := append(make([]byte, HeaderLen), payload...)
-				h := Message{Kind: k, Hop: 255, Reason: 200, Opening: 7, Start: 9}
+				h := Message{Kind: k, Hop: 255, Reason: 200, Opening: 7}
 				h.Put(m, b.Keys[0])
 				b.HandleMessage(from, append([]byte(nil), m...), now)
 				a.HandleMessage(from, m, now)
--- /dev/null
+++ b/datagram/directory_test.go
@@ -0,0 +1,271 @@
+package datagram
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against homes that differ between processes, and move more than they must.
+func TestHomesAreSharedAndStay(t *testing.T) {
+	ips := make([]IP, 23)
+	for i := range ips {
+		ips[i] = IP(i + 1)
+	}
+	s := newHomeSet(slices.Clone(ips))
+	rand.New(rand.NewPCG(1, 1)).Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
+	o := newHomeSet(ips)
+	fewer := newHomeSet(slices.DeleteFunc(slices.Clone(ips), func(ip IP) bool { return ip == 7 }))
+	if s.digest != o.digest || s.digest == fewer.digest {
+		t.Error("digests do not tell sets apart")
+	}
+	load := map[IP]int{}
+	for port := range uint16(5000) {
+		f := testFlow(port)
+		h := s.of(f)
+		if h != o.of(f) || h[0] == 0 || h[0] == h[1] || h[1] == 0 {
+			t.Fatalf("homes %v and %v", h, o.of(f))
+		}
+		if !h.has(7) && h != fewer.of(f) {
+			t.Fatalf("homes %v became %v", h, fewer.of(f))
+		}
+		load[h[0]]++
+		load[h[1]]++
+	}
+	for ip, n := range load {
+		if n < 300 || n > 600 {
+			t.Errorf("%v is home of %d of 5,000 flows, want about 435", ip, n)
+		}
+	}
+	if h := (&homeSet{}).of(testFlow(1)); h != (homes{}) {
+		t.Errorf("homes %v among nobody", h)
+	}
+}
+
+// Guards against a home that takes its directory for whole while entries are missing.
+func TestLogNoticesWhatIsMissing(t *testing.T) {
+	for name, x := range map[string]struct {
+		arrive []uint32
+		status AgentStatus
+		want   bool
+	}{
+		"all":                  {[]uint32{0, 1, 2}, AgentStatus{Life: 1, Epoch: 4, Entries: 3}, true},
+		"in another order":     {[]uint32{2, 0, 1}, AgentStatus{Life: 1, Epoch: 4, Entries: 3}, true},
+		"more than the status": {[]uint32{0, 1, 2}, AgentStatus{Life: 1, Epoch: 4, Entries: 2}, true},
+		"one is missing":       {[]uint32{0, 2}, AgentStatus{Life: 1, Epoch: 4, Entries: 3}, false},
+		"the last is missing":  {[]uint32{0, 1}, AgentStatus{Life: 1, Epoch: 4, Entries: 3}, false},
+		"one is repeated":      {[]uint32{0, 1, 1}, AgentStatus{Life: 1, Epoch: 4, Entries: 3}, false},
+		"another life":         {[]uint32{0, 1, 2}, AgentStatus{Life: 2, Epoch: 4, Entries: 3}, false},
+		"another epoch":        {[]uint32{0, 1, 2}, AgentStatus{Life: 1, Epoch: 5, Entries: 3}, false},
+		"an epoch before":      {[]uint32{0}, AgentStatus{Life: 1, Epoch: 3, Entries: 0}, false},
+		"nothing was told":     {nil, AgentStatus{Life: 1, Epoch: 4}, true},
+		"far ahead":            {[]uint32{0, 900}, AgentStatus{Life: 1, Epoch: 4, Entries: 2}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &entryLog{life: 1, epoch: 4}
+			for _, n := range x.arrive {
+				l.arrived(n)
+			}
+			if l.complete(&x.status) != x.want {
+				t.Errorf("complete: %t, log %+v", !x.want, l)
+			}
+		})
+	}
+}
+
+// pair is an agent and its home, which lose what drop says.
+type testPair struct {
+	a    *Agent
+	b    *Balancer
+	drop func(Kind) bool
+	now  time.Duration
+	born time.Duration // of the agent
+}
+
+const testAgent IP = 1
+
+func (p *testPair) ToProcess(to IP, m []byte) {
+	m = slices.Clone(m)
+	if p.drop != nil && p.drop(Kind(m[1])) {
+		return
+	}
+	switch to {
+	case testSelf:
+		p.b.HandleMessage(testAgent, m, p.now)
+	case testAgent:
+		p.a.HandleMessage(testSelf, m, p.now-p.born)
+	}
+}
+
+func (p *testPair) ToCaller(IP, []byte) {}
+
+func (p *testPair) ToUpstream([]byte) {}
+
+func newTestPair(t *testing.T) *testPair {
+	p := &testPair{now: time.Second}
+	p.b = &Balancer{Self: testSelf, Life: 50, Format: plain{}, Out: p, Keys: testKeys(t)}
+	p.b.Start()
+	p.b.settled = true
+	p.a = &Agent{Life: 60, Service: 7, Format: plain{}, Out: p, Keys: testKeys(t)}
+	p.startAgent()
+	return p
+}
+
+// startAgent starts the agent beside an upstream that it knows from its start.
+func (p *testPair) startAgent() {
+	p.born = p.now
+	p.a.Start()
+	p.a.Announce(&Announcement{Service: 7, Born: 5, Sequence: 1, Slots: 5}, 0)
+	p.a.Meet(testSelf, 0)
+}
+
+// pass lets time go by.
+func (p *testPair) pass(d time.Duration) {
+	for end := p.now + d; p.now < end; p.now += 10 * time.Millisecond {
+		p.a.Tick(p.now - p.born)
+		p.b.Tick(p.now)
+	}
+}
+
+// hold has the agent's upstream accept a flow.
+func (p *testPair) hold(port uint16) {
+	f := &flowState{phase: flowAccepted, born: 5}
+	p.a.flows.set(testFlow(port), f)
+	p.a.register(testFlow(port), f, p.now-p.born)
+}
+
+func (p *testPair) knows(port uint16) bool {
+	x, _ := p.b.directory.flows.get(testFlow(port))
+	return slices.Contains(x.list(), testAgent)
+}
+
+// Guards against a home that denies a flow since a datagram was lost or it was started
+// anew: it is unsure until it has been told everything again.
+func TestDirectoryBecomesWholeAgain(t *testing.T) {
+	for name, harm := range map[string]func(t *testing.T, p *testPair){
+		"nothing lost": func(*testing.T, *testPair) {},
+		"an entry is lost": func(t *testing.T, p *testPair) {
+			p.drop = func(k Kind) bool { return k == KindEntries }
+			p.hold(2)
+			p.pass(2 * StatusEvery)
+			if covered, _ := p.b.coverage(p.now); covered {
+				t.Error("an entry is missing, and the directory takes itself for whole")
+			}
+			p.drop = nil
+		},
+		"the home is started anew": func(t *testing.T, p *testPair) {
+			old := p.b
+			p.b = &Balancer{Self: testSelf, Life: 51, Format: plain{}, Out: p, Keys: old.Keys}
+			p.b.Start()
+			p.b.settled = true
+			p.b.agents.record([]Member{{IP: testAgent, Agent: true, Service: 7}}, p.now)
+			if covered, _ := p.b.coverage(p.now); covered {
+				t.Error("an empty directory takes itself for whole")
+			}
+		},
+		"the agent is started anew": func(_ *testing.T, p *testPair) {
+			p.a = &Agent{Life: 61, Service: 7, Format: plain{}, Out: p, Keys: p.a.Keys}
+			p.startAgent()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPair(t)
+			p.hold(1)
+			p.pass(2 * StatusEvery)
+			harm(t, p)
+			p.hold(3)
+			p.pass(2 * time.Second)
+			if covered, unsure := p.b.coverage(p.now); !covered || len(unsure) > 0 {
+				t.Errorf("covered %t, unsure of %v", covered, unsure)
+			}
+			for port, f := range map[uint16]bool{1: true, 2: name == "an entry is lost", 3: true, 4: false} {
+				if p.knows(port) != f {
+					t.Errorf("knows flow %d: %t", port, !f)
+				}
+			}
+		})
+	}
+}
+
+// Guards against entries of a former life of an agent that arrive late.
+func TestEntriesOfAFormerLifeChangeNothing(t *testing.T) {
+	now := 10 * time.Second
+	b, _ := testBalancer(t, 1, now)
+	b.agents.hear(1, AgentStatus{Life: 9, Sequence: 1, Service: 7, KnowsAll: true, Homes: b.homes.digest}, now+time.Second)
+	for _, life := range []Life{9, 1} {
+		p := make([]byte, entriesHeadLen+flowLen)
+		p[7] = byte(life)
+		testFlow(uint16(life)).put(p[entriesHeadLen:])
+		b.hearEntries(1, p)
+	}
+	_, ok := b.directory.flows.get(testFlow(9))
+	_, late := b.directory.flows.get(testFlow(1))
+	if !ok || late || b.directory.logs[1].life != 9 {
+		t.Errorf("log %+v", b.directory.logs[1])
+	}
+}
+
+// Guards against flows that are in no home's directory after a balancer was added or
+// taken away.
+func TestFlowsFollowTheirHomes(t *testing.T) {
+	s := newSent(t)
+	a := &Agent{Service: 7, Format: plain{}, Out: s, Keys: testKeys(t)}
+	a.Start()
+	now := time.Second
+	hear := func(ip IP) {
+		m := (&BalancerStatus{Life: Life(ip), Agents: 1}).append(make([]byte, HeaderLen))
+		h := Message{Kind: KindBalancer}
+		h.Put(m, a.Keys[0])
+		a.HandleMessage(ip, m, now)
+	}
+	for ip := IP(101); ip <= 104; ip++ {
+		hear(ip)
+	}
+	for port := range uint16(100) {
+		f := &flowState{phase: flowOpen}
+		a.flows.set(testFlow(port), f)
+		a.register(testFlow(port), f, now)
+	}
+	told := func(want homeSet) {
+		t.Helper()
+		if !a.homes.equal(&want) {
+			t.Fatalf("homes are chosen among %v", a.homes.ips)
+		}
+		n := 0
+		for _, v := range a.balancers {
+			n += int(v.entries)
+		}
+		if n < 2*100 {
+			t.Errorf("%d entries told", n)
+		}
+	}
+	told(newHomeSet([]IP{101, 102, 103, 104}))
+	hear(105)
+	told(newHomeSet([]IP{101, 102, 103, 104, 105}))
+	if n := a.balancers[105].entries; n < 20 || n > 60 {
+		t.Errorf("a fifth balancer was told of %d of 100 flows, want about 40", n)
+	}
+	before := a.balancers[101].entries
+	now += homeSilentLeast + time.Second
+	for ip := IP(101); ip <= 104; ip++ {
+		a.balancers[ip].heard = now
+	}
+	a.Tick(now)
+	a.Tick(now + StatusEvery)
+	told(newHomeSet([]IP{101, 102, 103, 104}))
+	if a.balancers[101].entries == before {
+		t.Error("nobody was told of the flows of a balancer that is gone")
+	}
+}
+
+func FuzzEntries(f *testing.F) {
+	f.Add(make([]byte, entriesHeadLen+flowLen))
+	f.Add([]byte{1})
+	f.Fuzz(func(t *testing.T, p []byte) {
+		b := &Balancer{Self: testSelf}
+		b.Start()
+		b.hearEntries(1, p)
+		b.locate(2, p, time.Second)
+	})
+}
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -19,12 +19,14 @@
 	accepted uint32 // the upstream's first number
 	balancer IP
 	opening  uint32
-	// wanted: a walk led here, and the balancer is to be told if the flow is here.
+	// wanted: the flow was looked for, and the balancer is to be told if it is here.
 	wanted bool
-	since  time.Duration
-	asked  time.Duration // when the request under way began
-	sent   bool          // the caller has sent data, up to upTo
-	upTo   uint32
+	// registered is when its homes were told of it; 0: never.
+	registered time.Duration
+	since      time.Duration
+	asked      time.Duration // when the request under way began
+	sent       bool          // the caller has sent data, up to upTo
+	upTo       uint32
 	// number is what the caller has acknowledged or is about to; a reset names it.
 	number uint32
 }
@@ -45,8 +47,6 @@
 type pending struct {
 	scratch  uint32
 	balancer IP
-	start    IP
-	hop      uint8
 	flags    Flags
 	opening  uint32
 }
@@ -98,14 +98,14 @@
 		f.born = a.upstream.born // it was not known yet when the flow was seen first
 	}
 	f.number = k.Number
-	if h.Hop > 0 || f.phase == flowAsked {
+	if h.Flags.has(FlagLookup) || f.phase == flowAsked {
 		f.wanted, f.balancer = true, from
 	}
 	if f.wanted && f.phase == flowOpen {
 		a.mine(k.Flow, f)
 	}
 	a.began(k, f, p, now)
-	a.give(p, pending{balancer: from, start: h.Start, hop: h.Hop, flags: h.Flags})
+	a.give(p, pending{balancer: from, flags: h.Flags})
 }
 
 // mine tells the balancer that looked for the flow that it is here.
@@ -116,12 +116,9 @@
 }
 
 // askAnyway gives the packet of an unknown flow to an upstream that has not been
-// heard, and lets the walk go on meanwhile.
-//
-// An agent may be started again beside an upstream that was taken away. Waiting
-// for it, walks ended there: after all processes were killed, flows of other
-// upstreams got no packet until their callers' deadlines. If the upstream is there
-// after all, what it bounces goes on once more, as a sure denial.
+// heard, and says meanwhile that it can't tell. An agent may be started again beside
+// an upstream that was taken away, which would never answer. If it is there after all,
+// what it bounces is a sure denial.
 func (a *Agent) askAnyway(from IP, h Message, m []byte, now time.Duration) {
 	p := m[HeaderLen:]
 	k, _ := a.Format.Parse(p)
@@ -129,7 +126,7 @@
 	unsure := h
 	unsure.Flags |= FlagUnsure
 	a.pass(from, unsure, m)
-	a.give(p, pending{balancer: from, start: h.Start, hop: h.Hop, flags: h.Flags})
+	a.give(p, pending{balancer: from, flags: h.Flags})
 }
 
 // closed reports whether nothing more of the flow is sent to the upstream, as its
@@ -200,28 +197,30 @@
 // ends unseen can make an upstream seem busy for long.
 func (a *Agent) recount(now time.Duration) {
 	a.open, a.underWay = 0, 0
-	for _, fs := range []map[Flow]*flowState{a.flows.young, a.flows.old} {
-		for _, f := range fs {
-			if f.phase != flowOpen || f.finished || f.born != 0 && f.born != a.upstream.born {
-				continue
-			}
-			a.open++
-			f.underWay = f.underWay && now-f.asked < requestLife
-			if f.underWay {
-				a.underWay++
-			}
+	for _, f := range a.flows.all() {
+		if f.phase != flowOpen || f.finished || f.born != 0 && f.born != a.upstream.born {
+			continue
+		}
+		a.open++
+		f.underWay = f.underWay && now-f.asked < requestLife
+		if f.underWay {
+			a.underWay++
 		}
 	}
 }
 
-// pass gives a packet back to the balancer that carries on the walk.
+// pass tells the balancer that the flow of a packet is not here, and gives the packet
+// back unless the balancer has kept it for a lookup.
 func (a *Agent) pass(to IP, h Message, m []byte) {
 	a.Count.NotMine++
-	if h.Hop == hopFinal {
+	r := Message{Kind: KindNotMine, Flags: h.Flags, Service: a.Service}
+	if h.Flags.has(FlagLookup) {
+		k, _ := a.Format.Parse(m[HeaderLen:])
+		r.Kind = KindDenied
+		a.hint(to, r, k.Flow)
 		return
 	}
-	h.Kind, h.Service = KindNotMine, a.Service
-	h.Put(m, a.Keys[0])
+	r.Put(m, a.Keys[0])
 	a.Out.ToProcess(to, m)
 }
 
@@ -268,6 +267,7 @@
 		f = &flowState{phase: flowOpen, born: a.upstream.born, since: now, number: k.Seq + uint32(k.Length)}
 		a.flows.set(k.Flow, f)
 		a.open++
+		a.register(k.Flow, f, now)
 	case known:
 		a.answered(k, f, now)
 	}
@@ -285,6 +285,7 @@
 	case k.Open:
 		if f.phase <= flowOffered {
 			f.phase, f.accepted = flowAccepted, k.Seq
+			a.register(k.Flow, f, now)
 			a.Count.Established++
 			a.Observe.note(ObserveHandshake, now-f.since)
 			a.Log.decide(decision{event: events.FlowEstablished, flow: k.Flow, agent: f.balancer, version: a.version, age: now - f.since}, now)
@@ -296,6 +297,7 @@
 	case f.phase == flowAsked:
 		f.phase, f.since = flowOpen, now
 		a.open++
+		a.register(k.Flow, f, now)
 	}
 	if k.Length > 0 && f.underWay {
 		a.ended(f)
@@ -351,5 +353,5 @@
 	}
 	a.Format.ClearBounced(m[HeaderLen:])
 	a.Format.SetScratch(m[HeaderLen:], 0)
-	a.pass(x.balancer, Message{Start: x.start, Hop: x.hop, Flags: x.flags}, m)
+	a.pass(x.balancer, Message{Flags: x.flags}, m)
 }
--- /dev/null
+++ b/datagram/flows_test.go
@@ -0,0 +1,109 @@
+package datagram
+
+import (
+	"testing"
+	"time"
+)
+
+// A zone is out, and a balancer that has just started looks for a flow of another
+// zone. The agents of the zone that is out swallowed its packets, so a lesson that
+// had nothing to do with the zone stood still.
+func TestLookupPassesAZoneThatIsOut(t *testing.T) {
+	const now = 20 * time.Second
+	for name, x := range map[string]struct {
+		first   int64 // sequence of the first announcement: 1 if the agent saw the whole life
+		here    bool
+		dropped bool
+		flags   Flags
+	}{
+		"elsewhere, and the agent knows it": {1, false, false, 0},
+		"not known, agent was restarted":    {9, false, false, FlagUnsure | FlagKnownOnly},
+		"here":                              {1, true, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSent(t)
+			a := &Agent{Service: 7, Zone: 3, Format: plain{}, Out: s, Keys: testKeys(t)}
+			a.Start()
+			a.Announce(&Announcement{Service: 7, Born: 5, Sequence: x.first, Slots: 5}, time.Second)
+			a.setZonesOut([]ZoneKey{3}, 9, now-evacuationUsual)
+			m := plainPacket(plainData, 9)
+			k, _ := plain{}.Parse(m[HeaderLen:])
+			if x.here {
+				a.flows.set(k.Flow, &flowState{phase: flowOpen, born: 5})
+			}
+			h := Message{Kind: KindPacket, Flags: FlagLookup}
+			h.Put(m, a.Keys[0])
+			a.HandleMessage(1, m, now)
+			if s.upstream != 0 {
+				t.Error("given to the upstream of a zone that is out")
+			}
+			if x.dropped != (len(s.process) == 0) || !x.dropped && (s.process[0].Kind != KindDenied || s.process[0].Flags&^FlagLookup != x.flags) {
+				t.Errorf("sent %+v", s.process)
+			}
+		})
+	}
+}
+
+// An agent of a zone that is out was started after its upstream and may not ask it
+// for a flow. Whoever else is asked must know the flow to give it on, as the others'
+// upstreams would get the packets of a flow that lives there; and its end is not
+// proved.
+func TestLookupPastAnAgentThatMayNotAsk(t *testing.T) {
+	const now = 20 * time.Second
+	for name, x := range map[string]struct {
+		first    int64
+		here     bool
+		upstream int
+	}{
+		"knows all flows":           {1, false, 0},
+		"would have to ask":         {9, false, 0},
+		"knows that it is here":     {9, true, 1},
+		"knows all, and it is here": {1, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSent(t)
+			a := &Agent{Service: 7, Zone: 3, Format: plain{}, Out: s, Keys: testKeys(t)}
+			a.Start()
+			a.Announce(&Announcement{Service: 7, Born: 5, Sequence: x.first, Slots: 5}, time.Second)
+			m := plainPacket(plainData, 9)
+			k, _ := plain{}.Parse(m[HeaderLen:])
+			if x.here {
+				a.flows.set(k.Flow, &flowState{phase: flowOpen, born: 5})
+			}
+			h := Message{Kind: KindPacket, Flags: FlagLookup | FlagUnsure | FlagKnownOnly}
+			h.Put(m, a.Keys[0])
+			a.HandleMessage(1, m, now)
+			if s.upstream != x.upstream {
+				t.Errorf("given to the upstream %d times", s.upstream)
+			}
+			if !x.here && (len(s.process) != 1 || s.process[0].Flags&^FlagLookup != FlagUnsure|FlagKnownOnly) {
+				t.Errorf("sent %+v", s.process)
+			}
+		})
+	}
+}
+
+// What a silent agent may still hold: an agent whose upstream had left is taken away
+// with its VM, and nobody's flow need wait for it.
+func TestSilentAgentMayHoldFlows(t *testing.T) {
+	now := 20 * time.Second
+	for name, x := range map[string]struct {
+		status AgentStatus
+		silent time.Duration
+		want   bool
+	}{
+		"ready":                         {AgentStatus{State: UpstreamReady}, 2 * time.Second, true},
+		"ready, for long":               {AgentStatus{State: UpstreamReady}, goneAfter, false},
+		"draining":                      {AgentStatus{State: UpstreamDraining}, 2 * time.Second, true},
+		"deregistered":                  {AgentStatus{State: UpstreamGone}, 2 * time.Second, false},
+		"never announced":               {AgentStatus{State: UpstreamUnknown, Uptime: MillisOf(announcedWithin + time.Second)}, 2 * time.Second, false},
+		"not announced, just restarted": {AgentStatus{State: UpstreamUnknown, Uptime: MillisOf(time.Second)}, 2 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := agentView{status: x.status, heard: now - x.silent}
+			if a.mayLive(now) != x.want {
+				t.Errorf("may hold flows: %t", !x.want)
+			}
+		})
+	}
+}
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -175,7 +175,7 @@
 	if a.upstream.gave == 0 {
 		a.upstream.gave = now
 	}
-	a.give(p, pending{balancer: from, opening: h.Opening, start: h.Start, hop: h.Hop})
+	a.give(p, pending{balancer: from, opening: h.Opening})
 }
 
 // give hands a packet to the upstream and remembers where it goes if bounced.
--- a/datagram/log.go
+++ b/datagram/log.go
@@ -68,6 +68,14 @@
 		slog.Bool("leaving", s.Leaving), slog.Duration("cold", s.Cold.Duration()), slog.Uint64("life", uint64(s.Life)))
 }
 
+// entriesMissing logs that an agent is asked for its flows again.
+func (l *Log) entriesMissing(ip IP, life Life) {
+	if l == nil || l.Log == nil {
+		return
+	}
+	l.Log.Add(events.EntriesMissing, slog.String("agent", ip.String()), slog.Uint64("life", uint64(life)))
+}
+
 var upstreamStateNames = [upstreamStateEnd]string{"unknown", "ready", "draining", "gone", "silent", "absent"}
 
 // String returns the state as it stands in the log.
--- /dev/null
+++ b/datagram/lookup_test.go
@@ -0,0 +1,324 @@
+package datagram
+
+import (
+	"encoding/binary"
+	"slices"
+	"testing"
+	"time"
+)
+
+// testFlow is the flow of plainPacket with the port.
+func testFlow(port uint16) Flow {
+	p, _ := plain{}.Parse(plainPacket(plainData, port)[HeaderLen:])
+	return p.Flow
+}
+
+// asks returns the agents that were given packets, in order.
+func (s *sent) asks() []IP {
+	var ips []IP
+	for i, m := range s.process {
+		if m.Kind == KindPacket {
+			ips = append(ips, s.to[i])
+		}
+	}
+	return ips
+}
+
+// deny answers for an agent that it does not hold the flow.
+func deny(b *Balancer, ip IP, port uint16, f Flags, now time.Duration) {
+	p := make([]byte, flowLen)
+	testFlow(port).put(p)
+	b.denied(ip, Message{Flags: f}, p, now)
+}
+
+// Guards against the reset of a flow that lives, and against callers of lost flows that
+// are told nothing.
+func TestEndOfALookup(t *testing.T) {
+	for name, x := range map[string]struct {
+		prepare func(b *Balancer, now time.Duration)
+		denies  Flags // what those that are asked say
+		asked   int
+		resets  int
+	}{
+		"homes know of all flows": {func(*Balancer, time.Duration) {}, 0, 0, 1},
+		"one started after its upstream, denies": {func(b *Balancer, _ time.Duration) {
+			b.agents.byIP[2].status.KnowsAll = false
+		}, 0, 1, 1},
+		"one started after its upstream, can't tell": {func(b *Balancer, _ time.Duration) {
+			b.agents.byIP[2].status.KnowsAll = false
+		}, FlagUnsure, 1, 0},
+		"one of another service started after its upstream": {func(b *Balancer, now time.Duration) {
+			b.agents.hear(9, AgentStatus{Life: 9, Sequence: 1, Service: 8, State: UpstreamReady, Homes: b.homes.digest}, now)
+		}, 0, 0, 0},
+		"an entry did not arrive": {func(b *Balancer, _ time.Duration) {
+			b.agents.byIP[1].status.Entries = 1
+		}, 0, 0, 0},
+		"one chooses among other balancers": {func(b *Balancer, _ time.Duration) {
+			b.agents.byIP[1].status.Homes++
+		}, 0, 0, 0},
+		"records not read": {func(b *Balancer, _ time.Duration) { b.settled = false }, 0, 0, 0},
+		"one silent for two seconds": {func(b *Balancer, now time.Duration) {
+			b.agents.byIP[1].heard = now - 2*time.Second
+		}, 0, 0, 0},
+		"one silent for long": {func(b *Balancer, now time.Duration) {
+			b.agents.byIP[1].heard = now - 2*goneAfter
+		}, 0, 0, 1},
+		"most silent for long": {func(b *Balancer, now time.Duration) {
+			b.agents.byIP[1].heard, b.agents.byIP[2].heard = now-2*goneAfter, now-2*goneAfter
+		}, 0, 0, 0},
+		"one recorded now, not heard": {func(b *Balancer, now time.Duration) {
+			b.SetMembers([]Member{{IP: 9, Agent: true, Service: 7}}, true, now)
+		}, 0, 0, 0},
+		"one recorded for long, not heard": {func(b *Balancer, now time.Duration) {
+			b.SetMembers([]Member{{IP: 9, Agent: true, Service: 7}}, true, now-2*unheardAfter)
+		}, 0, 0, 1},
+		"the other home does not answer": {func(b *Balancer, now time.Duration) {
+			addPeer(b, 101, now)
+		}, 0, 0, 0},
+		"too many may hold it": {func(b *Balancer, _ time.Duration) {
+			b.directory.flows.set(testFlow(5), holders{7, 8, 9})
+		}, 0, 3, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			b, s := testBalancer(t, 3, now-200*time.Millisecond)
+			x.prepare(b, now)
+			b.HandleCaller(plainPacket(plainData, 5), now)
+			for i := 0; i < len(s.asks()); i++ {
+				deny(b, s.asks()[i], 5, x.denies, now)
+			}
+			if len(s.asks()) != x.asked || s.caller != x.resets {
+				t.Errorf("%d resets after asking %v", s.caller, s.asks())
+			}
+		})
+	}
+}
+
+// addPeer has the balancer hear another one, by which agents know it too.
+func addPeer(b *Balancer, ip IP, now time.Duration) {
+	b.meet(ip, now)
+	b.peers[ip].heard = now
+	b.updateHomes(now)
+	for _, a := range b.agents.byIP {
+		a.status.Homes = b.homes.digest
+	}
+}
+
+// tellHome answers a lookup for another balancer.
+func tellHome(b *Balancer, from IP, port uint16, f Flags, now time.Duration, holders ...IP) {
+	p := []byte{0}
+	p = append(p, make([]byte, flowLen)...)
+	testFlow(port).put(p[1:])
+	p = appendIPs(append(p, byte(len(holders))), holders)
+	b.hearLocated(from, Message{Flags: f}, p, now)
+}
+
+// Guards against a flow that is reset by a balancer that does not know to which service
+// its route led before: the home's word counts, whatever service the agent is of.
+func TestHomeFindsAFlowOfAFormerService(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 3, now-200*time.Millisecond)
+	b.agents.hear(9, AgentStatus{Life: 9, Sequence: 1, Service: 8, State: UpstreamReady, KnowsAll: true, Homes: b.homes.digest}, now)
+	addPeer(b, 101, now)
+	b.HandleCaller(plainPacket(plainData, 5), now)
+	tellHome(b, 101, 5, 0, now, 9)
+	if got := s.asks(); len(got) != 1 || got[0] != 9 || s.caller != 0 {
+		t.Fatalf("asked %v, resets %d", got, s.caller)
+	}
+	b.found(9, testFlow(5), now)
+	b.HandleCaller(plainPacket(plainData, 5), now)
+	if got := s.asks(); len(got) != 2 || got[1] != 9 {
+		t.Errorf("the flow is not remembered at its agent: %v", got)
+	}
+}
+
+// Guards against a lookup that ends at an agent that does not answer.
+func TestLookupGoesOnPastASilentAgent(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 4, now-200*time.Millisecond)
+	for _, a := range b.agents.byIP {
+		a.status.KnowsAll = false
+	}
+	b.HandleCaller(plainPacket(plainData, 5), now)
+	for len(s.asks()) < 4 && now < 11*time.Second {
+		now += agentWithin
+		b.Tick(now)
+	}
+	got := slices.Sorted(slices.Values(s.asks()))
+	if !slices.Equal(got, []IP{1, 2, 3, 4}) || s.caller != 0 {
+		t.Errorf("asked %v, resets %d", s.asks(), s.caller)
+	}
+}
+
+// Guards against agents that are given a flow's packets before one whose availability
+// zone is out and that may hold it, and drops them.
+func TestLookupAsksAZoneThatIsOutFirst(t *testing.T) {
+	now := 10 * time.Second
+	for port := range uint16(50) {
+		b, s := testBalancer(t, 6, now-200*time.Millisecond)
+		for ip, a := range b.agents.byIP {
+			a.status.KnowsAll = false
+			if ip <= 2 {
+				a.status.Zone = 3
+			}
+		}
+		b.SetZonesOut([]ZoneKey{3}, 9, now)
+		b.HandleCaller(plainPacket(plainData, port), now)
+		for i := 0; i < len(s.asks()); i++ {
+			deny(b, s.asks()[i], port, 0, now)
+		}
+		if got := s.asks(); len(got) != 6 || got[0] > 2 || got[1] > 2 || got[0] == got[1] || s.caller != 1 {
+			t.Fatalf("asked %v, resets %d", got, s.caller)
+		}
+		for _, m := range s.process {
+			if m.Kind == KindPacket && !m.Flags.has(FlagKnownOnly) {
+				t.Fatal("an agent that does not know the flow may give it to its upstream")
+			}
+		}
+	}
+}
+
+// Guards against callers of lost flows that wait for their own retransmissions while
+// VMs return one after another.
+func TestLookupIsMadeAgainWhenAllAreKnown(t *testing.T) {
+	for name, x := range map[string]struct {
+		meanwhile func(b *Balancer, now time.Duration)
+		resets    int
+	}{
+		"all are known": {func(b *Balancer, now time.Duration) { hearAgent(b, 2, now) }, 1},
+		"one is not":    {func(*Balancer, time.Duration) {}, 0},
+		"the flow was found": {func(b *Balancer, now time.Duration) {
+			hearAgent(b, 2, now)
+			b.found(2, testFlow(5), now)
+		}, 0},
+		"its caller has reset it": {func(b *Balancer, now time.Duration) {
+			hearAgent(b, 2, now)
+			b.lookups.byFlow[testFlow(5)].ended = true
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			b, s := testBalancer(t, 3, now-200*time.Millisecond)
+			b.agents.byIP[2].heard = now - 2*time.Second
+			b.HandleCaller(plainPacket(plainData, 5), now)
+			if s.caller != 0 {
+				t.Fatal("reset though one agent is not heard")
+			}
+			x.meanwhile(b, now)
+			b.Tick(now + roundFirst)
+			if s.caller != x.resets {
+				t.Errorf("%d resets", s.caller)
+			}
+		})
+	}
+}
+
+// hearAgent has the balancer hear an agent of testBalancer again.
+func hearAgent(b *Balancer, ip IP, now time.Duration) {
+	s := b.agents.byIP[ip].status
+	s.Sequence++
+	b.agents.hear(ip, s, now)
+}
+
+// Guards against a storm of lookups that takes a small VM's link and processor, and
+// against memory that grows with it.
+func TestLookupsAreBounded(t *testing.T) {
+	const callers = 3 * lookupsMost
+	now := 10 * time.Second
+	b, s := testBalancer(t, 40, now)
+	b.LookupRate = 300
+	for ip := range b.agents.byIP {
+		b.agents.byIP[ip].status.KnowsAll = false
+	}
+	for port := range uint16(callers) {
+		b.HandleCaller(plainPacket(plainData, 100+port), now)
+	}
+	if n := len(b.lookups.queue); n != lookupsMost || len(b.lookups.byFlow) != n {
+		t.Fatalf("%d lookups under way, %d by flow", n, len(b.lookups.byFlow))
+	}
+	for end := now + lookupFor + time.Second; now < end; now += lookupShort {
+		for ip := range b.agents.byIP {
+			b.agents.byIP[ip].heard = now
+		}
+		b.Tick(now)
+	}
+	if n, most := len(s.asks()), int(1.5*b.LookupRate*(lookupFor+time.Second).Seconds()); n > most || n == 0 {
+		t.Errorf("asked %d times, want at most %d", n, most)
+	}
+	if len(b.lookups.queue) != 0 {
+		t.Errorf("%d lookups go on", len(b.lookups.queue))
+	}
+}
+
+// Guards against openings and lookups that wait for each other: the budget is that of
+// lookups alone.
+func TestOpeningsAreNotHeldUpByLookups(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 3, now)
+	b.LookupRate = 1
+	for _, a := range b.agents.byIP {
+		a.status.KnowsAll = false
+	}
+	for port := range uint16(50) {
+		b.HandleCaller(plainPacket(plainData, 100+port), now)
+	}
+	b.HandleCaller(plainPacket(plainOpening, 1), now)
+	if s.process[len(s.process)-1].Kind != KindOpening {
+		t.Error("an opening waits for lookups")
+	}
+}
+
+func TestLookupRateFollowsTheVM(t *testing.T) {
+	for name, x := range map[string]struct{ cores, bandwidth, least, most float64 }{
+		"small link":      {1, 10, 700, 800},
+		"small processor": {0.061, 1000, 350, 400},
+		"not known":       {0, 0, 0, 0},
+		"link alone":      {0, 10, 700, 800},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if r := LookupRate(x.cores, x.bandwidth); r < x.least || r > x.most {
+				t.Errorf("%v messages a second", r)
+			}
+		})
+	}
+}
+
+// Guards against an answer to another balancer that proves an end which only this
+// home's own set of balancers would prove.
+func TestHomeIsUnsureOfOtherSets(t *testing.T) {
+	now := 10 * time.Second
+	b, _ := testBalancer(t, 3, now)
+	for name, x := range map[string]struct {
+		digest uint64
+		flags  Flags
+	}{
+		"the same":  {b.homes.digest, 0},
+		"other set": {b.homes.digest + 1, FlagUnsure},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b.directory.flows.set(testFlow(5), holders{2})
+			s := newSent(t)
+			b.Out = s
+			p := binary.BigEndian.AppendUint64(nil, x.digest)
+			p = append(p, make([]byte, flowLen)...)
+			testFlow(5).put(p[locateHeadLen:])
+			b.locate(101, p, now)
+			if len(s.process) != 1 || s.process[0].Kind != KindLocated || s.process[0].Flags != x.flags {
+				t.Errorf("%+v", s.process)
+			}
+		})
+	}
+}
+
+func FuzzLocated(f *testing.F) {
+	p := appendIPs([]byte{1}, []IP{9})
+	p = append(p, make([]byte, flowLen)...)
+	f.Add(appendIPs(append(p, 2), []IP{1, 2}))
+	f.Add([]byte{0})
+	f.Fuzz(func(t *testing.T, p []byte) {
+		unsure, ls, ok := decodeLocated(p)
+		if !ok && (unsure != nil || ls != nil) {
+			t.Error("half an answer")
+		}
+	})
+}
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -24,6 +24,8 @@
 	KindRefused
 	// KindNotMine gives a packet back whose flow the agent's upstream does not hold.
 	KindNotMine
+	// KindDenied: the flow, which is looked for, is not at this agent.
+	KindDenied
 	// KindMine: the flow, which was looked for, is at this agent.
 	KindMine
 	// KindAgent and KindBalancer carry the sender's status.
@@ -32,6 +34,13 @@
 	// KindSilent is a balancer's word that an agent near it fell silent: the
 	// agent's address and life.
 	KindSilent
+	// KindEntries tells a home which flows an agent holds, and KindResend asks the
+	// agent to tell all of them again.
+	KindEntries
+	KindResend
+	// KindLocate asks a home which agents hold flows, and KindLocated answers.
+	KindLocate
+	KindLocated
 	kindEnd
 )
 
@@ -39,13 +48,11 @@
 type Message struct {
 	Kind   Kind
 	Reason Reason
-	// Hop counts the agents that a walk has asked for the flow. In an opening it
-	// says how pressing it is, in a refusal how many requests the upstream has.
+	// Hop is how pressing an opening is, and in a refusal how many requests the
+	// upstream has.
 	Hop uint8
-	// Flags say what a walk has met.
+	// Flags say how a flow is looked for.
 	Flags Flags
-	// Start is the agent that was asked first; a walk that comes back to it ends.
-	Start IP
 	// Opening names an attempt at an opening to the balancer that made it.
 	Opening uint32
 	Service ServiceKey
@@ -55,13 +62,14 @@
 	Load uint16
 }
 
-// Flags go with a packet on its walk.
+// Flags go with a packet whose flow is looked for, and with answers.
 type Flags uint8
 
 const (
-	// FlagUnsure: an agent that was asked can't tell whether it holds the flow, so
-	// the walk can't prove that the flow is gone.
+	// FlagUnsure: who answers can't tell whether the flow is gone.
 	FlagUnsure Flags = 1 << iota
+	// FlagLookup: the sender does not know where the flow is, and wants to be told.
+	FlagLookup
 	// FlagKnownOnly: only an agent that knows the flow may give the packet to its
 	// upstream, as the flow may be at one that nothing may be sent to.
 	FlagKnownOnly
@@ -84,11 +92,11 @@
 func (r ColdRate) perSecond() float64 { return float64(r) / 10 }
 
 // HeaderLen is the length of a message's header in bytes.
-const HeaderLen = 32
+const HeaderLen = 28
 
 const (
 	messageMagic = 0xd7
-	atTag        = 24
+	atTag        = 20
 	// coveredLen of a packet's first bytes are under the tag, enough to bind the
 	// header to the flow; the ends of the flow authenticate the rest.
 	coveredLen = 31
@@ -113,9 +121,8 @@
 	} else {
 		binary.BigEndian.PutUint16(b[6:], m.Load)
 	}
-	binary.BigEndian.PutUint32(b[8:], uint32(m.Start))
-	binary.BigEndian.PutUint32(b[12:], m.Opening)
-	binary.BigEndian.PutUint64(b[16:], uint64(m.Service))
+	binary.BigEndian.PutUint32(b[8:], m.Opening)
+	binary.BigEndian.PutUint64(b[12:], uint64(m.Service))
 	binary.BigEndian.PutUint64(b[atTag:], k.Tag(b[:atTag], b[HeaderLen:HeaderLen+m.Kind.covered(len(b)-HeaderLen)]))
 }
 
@@ -137,9 +144,8 @@
 	} else {
 		m.Load = binary.BigEndian.Uint16(b[6:])
 	}
-	m.Start = IP(binary.BigEndian.Uint32(b[8:]))
-	m.Opening = binary.BigEndian.Uint32(b[12:])
-	m.Service = ServiceKey(binary.BigEndian.Uint64(b[16:]))
+	m.Opening = binary.BigEndian.Uint32(b[8:])
+	m.Service = ServiceKey(binary.BigEndian.Uint64(b[12:]))
 	return b[HeaderLen:], true
 }
 
@@ -162,12 +168,15 @@
 	ReasonSilent
 	ReasonGone
 	ReasonCutOff
+	ReasonHomeSilent
+	ReasonHomeUnsure
+	ReasonAgentSilent
 	reasonEnd
 )
 
 var reasonNames = [reasonEnd]string{
 	"", "wrongService", "upstreamUnknown", "draining", "zoneOut", "cold", "full", "busy",
-	"noRoute", "noAgent", "notFound", "noAnswer", "upstreamGone", "cutOff",
+	"noRoute", "noAgent", "notFound", "noAnswer", "upstreamGone", "cutOff", "homeSilent", "homeUnsure", "agentSilent",
 }
 
 // String returns the reason as it stands in the log.
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -254,7 +254,7 @@
 		event: events.OpeningPlaced, flow: o.flow, agent: a.ip, hop: uint8(o.asked), version: b.Configured(), class: c, age: now - a.heard,
 	}, now)
 	o.hop = hop
-	b.send(o.packet[:HeaderLen+o.length], Message{Kind: KindOpening, Hop: hop, Opening: o.id, Service: o.service, Start: a.ip, Cold: b.cold(o.service)}, a.ip)
+	b.send(o.packet[:HeaderLen+o.length], Message{Kind: KindOpening, Hop: hop, Opening: o.id, Service: o.service, Cold: b.cold(o.service)}, a.ip)
 	b.openings.wait(o, now)
 }
 
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -13,6 +13,7 @@
 	life        Life
 	noted       time.Duration // when it was known first
 	heard, told time.Duration // 0: never
+	introduced  time.Duration // when it was told last for want of balancers
 }
 
 func (p *peerView) lastSign() time.Duration { return max(p.noted, p.heard) }
@@ -37,6 +38,18 @@
 // dutyKey is any number that all balancers share.
 const dutyKey = 0x64757479
 
+// updateHomes works out which balancers are homes.
+func (b *Balancer) updateHomes(now time.Duration) {
+	ips := []IP{b.Self}
+	after := homeSilentAfter(len(b.peers) + 1)
+	for ip, p := range b.peers {
+		if p.heard != 0 && now-p.heard < after {
+			ips = append(ips, ip)
+		}
+	}
+	b.homes = newHomeSet(ips)
+}
+
 // heard returns this balancer and those that it has heard lately.
 func (b *Balancer) heard(now time.Duration) []IP {
 	after := b.peerSilentAfter()
@@ -62,6 +75,10 @@
 	if born {
 		b.tellOne(from)
 	}
+	if a := b.agents.byIP[from]; a != nil && a.status.Life == s.Life && a.status.Sequence == s.Sequence {
+		b.checkEntries(from, &a.status, now)
+		b.introduce(from, s.Homes, &a.introduced, now)
+	}
 }
 
 func (b *Balancer) hearBalancer(from IP, m []byte, now time.Duration) {
@@ -75,18 +92,37 @@
 	if p.heard = now; p.life != s.Life {
 		p.life = s.Life
 		b.tellOne(from) // it has just started and knows few
+		b.updateHomes(now)
 	}
 	for _, ip := range s.Balancers {
 		if b.meet(ip, now) {
 			b.tellOne(ip)
 		}
 	}
+	b.introduce(from, s.Homes, &p.introduced, now)
 	b.SetZonesOut(s.Zones, s.Revision, now)
 	if s.Version > b.Configured() && b.Behind != nil {
 		b.Behind(from, s.Version)
 	}
 }
 
+// introduceEvery spaces what one process is told for want of balancers, and
+// introduceEach keeps that small in a large fleet.
+const (
+	introduceEvery = 150 * time.Millisecond
+	introduceEach  = time.Millisecond
+)
+
+// introduce tells a process of the balancers if it knows others than this one.
+func (b *Balancer) introduce(to IP, homes uint64, last *time.Duration, now time.Duration) {
+	every := introduceEvery + time.Duration(len(b.agents.byIP))*introduceEach
+	if homes == b.homes.digest || *last != 0 && now-*last < every {
+		return
+	}
+	*last = now
+	b.tellOne(to)
+}
+
 // meet notes a balancer and reports whether it was not known.
 func (b *Balancer) meet(ip IP, now time.Duration) bool {
 	if _, known := b.peers[ip]; known || ip == b.Self || ip == 0 {
@@ -226,7 +262,7 @@
 func (b *Balancer) statusMessage(most int) []byte {
 	s := BalancerStatus{
 		Life: b.Life, Version: b.Configured(), Revision: b.revision, Leaving: b.leaving,
-		Agents: uint16(min(len(b.agents.byIP), math.MaxUint16)),
+		Agents: uint16(min(len(b.agents.byIP), math.MaxUint16)), Homes: b.homes.digest,
 	}
 	for z := range b.out {
 		s.Zones = append(s.Zones, z)
--- a/datagram/status.go
+++ b/datagram/status.go
@@ -54,9 +54,15 @@
 	Cold     Millis
 	// Every is how often the receiver is told.
 	Every Millis
+	// Homes is the digest of the balancers among which the agent chooses homes.
+	Homes uint64
+	// Entries is how many the agent has told the receiver since Epoch began.
+	Epoch, Entries uint32
+	// KnowsAll: the agent knows every flow of its upstream.
+	KnowsAll bool
 }
 
-const agentStatusLen = 8 + 4 + 4 + 8 + 8 + 1 + 1 + 2 + 2 + 2 + 4 + 4
+const agentStatusLen = 8 + 4 + 4 + 8 + 8 + 1 + 1 + 2 + 2 + 2 + 4 + 4 + 8 + 4 + 4 + 1
 
 func (s *AgentStatus) append(b []byte) []byte {
 	b, _ = binary.Append(b, binary.BigEndian, s) // a fixed-size struct can't fail
@@ -80,7 +86,9 @@
 	Leaving  bool
 	// Agents is how many agents the sender knows.
 	Agents uint16
-	Zones  []ZoneKey
+	// Homes is the digest of the balancers among which the sender chooses homes.
+	Homes uint64
+	Zones []ZoneKey
 	// Balancers are some that the sender knows, to a newcomer as many as fit.
 	Balancers []IP
 }
@@ -97,12 +105,13 @@
 	Revision         uint64
 	Leaving          bool
 	Agents           uint16
+	Homes            uint64
 	Zones, Balancers uint8
 }
 
 func (s *BalancerStatus) append(b []byte) []byte {
 	z, r := s.Zones[:min(len(s.Zones), zonesMost)], s.Balancers[:min(len(s.Balancers), balancersMost)]
-	h := balancerHead{s.Life, s.Version, s.Revision, s.Leaving, s.Agents, uint8(len(z)), uint8(len(r))}
+	h := balancerHead{s.Life, s.Version, s.Revision, s.Leaving, s.Agents, s.Homes, uint8(len(z)), uint8(len(r))}
 	b, _ = binary.Append(b, binary.BigEndian, &h)
 	b, _ = binary.Append(b, binary.BigEndian, z)
 	b, _ = binary.Append(b, binary.BigEndian, r)
@@ -115,7 +124,7 @@
 	if binary.Read(r, binary.BigEndian, &h) != nil || r.Len() != int(h.Zones)*8+int(h.Balancers)*4 {
 		return false
 	}
-	*s = BalancerStatus{Life: h.Life, Version: h.Version, Revision: h.Revision, Leaving: h.Leaving, Agents: h.Agents}
+	*s = BalancerStatus{Life: h.Life, Version: h.Version, Revision: h.Revision, Leaving: h.Leaving, Agents: h.Agents, Homes: h.Homes}
 	s.Zones, s.Balancers = make([]ZoneKey, h.Zones), make([]IP, h.Balancers)
 	return binary.Read(r, binary.BigEndian, s.Zones) == nil && binary.Read(r, binary.BigEndian, s.Balancers) == nil
 }
--- a/datagram/table.go
+++ b/datagram/table.go
@@ -1,6 +1,9 @@
 package datagram
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // table keeps entries by flow and forgets those that were not used for a while.
 //
@@ -43,6 +46,19 @@
 
 func (t *table[V]) len() int { return len(t.young) + len(t.old) }
 
+// all returns the entries.
+func (t *table[V]) all() iter.Seq2[Flow, V] {
+	return func(yield func(Flow, V) bool) {
+		for _, m := range []map[Flow]V{t.young, t.old} {
+			for k, v := range m {
+				if !yield(k, v) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // tick drops what was not used for a turn, or the older half of a full table,
 // and returns what it dropped.
 func (t *table[V]) tick(now time.Duration) map[Flow]V {
--- a/datagram/upstream.go
+++ b/datagram/upstream.go
@@ -110,6 +110,9 @@
 	filled bool
 }
 
+// fill gives the bucket half a second's share.
+func (b *bucket) fill(rate float64) { b.tokens, b.filled = rate/2, true }
+
 // take reports whether the opening may go at the rate in a second.
 //
 // A cold upstream that gets more than it bears falls over. The bound is on any
--- a/events/events.go
+++ b/events/events.go
@@ -28,12 +28,14 @@
 	FlowEstablished ID = 1107
 	FlowNotFound    ID = 1108
 	FlowCut         ID = 1109
+	FlowFound       ID = 1110
 	RequestSeen     ID = 2201
 	UpstreamChanged ID = 2202
 	AgentChanged    ID = 3101
 	RecordRefused   ID = 3102
 	RecordRemoved   ID = 3103
 	RecordKept      ID = 3104
+	EntriesMissing  ID = 3105
 	RequestPlaced   ID = 2001
 	RequestPassed   ID = 2002
 	RequestRefused  ID = 2003
@@ -93,14 +95,16 @@
 	{OpeningTaken, "opening given to the upstream", slog.LevelInfo},
 	{OpeningDeclined, "opening declined", slog.LevelInfo},
 	{FlowEstablished, "opening accepted by the upstream", slog.LevelInfo},
-	{FlowNotFound, "no agent holds the flow", slog.LevelWarn},
+	{FlowNotFound, "flow not found", slog.LevelWarn},
 	{FlowCut, "flow of an ended upstream reset", slog.LevelWarn},
+	{FlowFound, "flow found", slog.LevelInfo},
 	{RequestSeen, "request under way", slog.LevelInfo},
 	{UpstreamChanged, "upstream changed", slog.LevelInfo},
 	{AgentChanged, "agent changed", slog.LevelInfo},
 	{RecordRefused, "member's record refused", slog.LevelWarn},
 	{RecordRemoved, "dead member's record removed", slog.LevelWarn},
 	{RecordKept, "dead member's record not removed", slog.LevelInfo},
+	{EntriesMissing, "agent asked for its flows again", slog.LevelInfo},
 	{AnnouncementRefused, "upstream's announcement refused", slog.LevelWarn},
 	{RequestPlaced, "request placed", slog.LevelInfo},
 	{RequestPassed, "request passed on", slog.LevelInfo},
--- /dev/null
+++ b/experiment/moved_test.go
@@ -0,0 +1,147 @@
+package experiment
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pomeloway.example/pomeloway/datagram"
+)
+
+// movedSite is a site whose route led to one service, and leads to another after it was
+// moved; a third is never led to.
+func movedSite(t *testing.T, seed uint64) (w *world, move func()) {
+	t.Helper()
+	w = site(t, seed, 3, 5, 0)
+	former, next := worldKey, datagram.ServiceKeyOf("scans")
+	for i := range 6 {
+		s := next
+		if i == 5 {
+			s = datagram.ServiceKeyOf("orders")
+		}
+		w.addAgentOf(100+i, zoneName(i%3), s).tick()
+	}
+	w.run(w.now + time.Second)
+	for i := range 120 {
+		w.addCaller(i, time.Second).fresh = i%4 == 3
+	}
+	w.run(w.now + 4*time.Second)
+	v := w.config.Version
+	return w, func() {
+		if v++; w.config.Routes[worldAddress].Shares[0].Service == former {
+			w.configure(v, datagram.Share{Service: next, Weight: 1})
+			return
+		}
+		w.configure(v, datagram.Share{Service: former, Weight: 1})
+	}
+}
+
+// Guards against a flow that is reset, or led to a foreign service, by a balancer that
+// never saw the configuration under which it was opened.
+func TestFlowsOfAMovedRouteGoOn(t *testing.T) {
+	for name, harm := range map[string]func(w *world){
+		"balancers restarted one after another": func(w *world) {
+			for _, v := range w.balancersInOrder() {
+				v.stop()
+				w.run(w.now + 100*time.Millisecond)
+				v.start()
+				w.run(w.now + 400*time.Millisecond)
+			}
+		},
+		"balancers added and lost": func(w *world) {
+			for i, v := range w.balancersInOrder() {
+				w.addBalancer(50 + i)
+				w.run(w.now + 200*time.Millisecond)
+				v.stop()
+				delete(w.balancers, v.ip)
+				w.run(w.now + 600*time.Millisecond)
+			}
+		},
+		"a balancer cut off and restarted": func(w *world) {
+			w.cutOff(1, time.Second)
+			w.run(w.now + 300*time.Millisecond)
+			v := w.balancersInOrder()[0]
+			v.stop()
+			w.run(w.now + 100*time.Millisecond)
+			v.start()
+		},
+		"all processes killed": func(w *world) { w.killAll(500 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				w, move := movedSite(t, seed)
+				move()
+				w.run(w.now + time.Second)
+				harm(w)
+				w.run(w.now + 600*time.Millisecond)
+				move()
+				w.run(w.now + 4*time.Second)
+				w.check(t)
+			}
+		})
+	}
+}
+
+// Guards against a route that is dropped and added again, for another service, between
+// two lives of a balancer.
+func TestFlowsOfARouteThatWasAddedAgainGoOn(t *testing.T) {
+	for seed := range uint64(6) {
+		w, _ := movedSite(t, seed)
+		w.configure(2)
+		w.run(w.now + 50*time.Millisecond)
+		v := w.balancersInOrder()[seed%3]
+		v.stop()
+		w.run(w.now + 100*time.Millisecond)
+		w.configure(3, datagram.Share{Service: datagram.ServiceKeyOf("scans"), Weight: 1})
+		v.start()
+		w.run(w.now + 3*time.Second)
+		w.check(t)
+	}
+}
+
+// lookupsOf returns how many flows all balancers have looked for.
+func (w *world) lookupsOf() (n uint64) {
+	for _, v := range w.balancersInOrder() {
+		n += v.b.Status(w.now - v.since).Counts.Lookups
+	}
+	return n
+}
+
+// Guards against lookups whose cost grows with the fleet: for flows that live, after
+// their balancers were restarted, and for flows that are gone.
+func TestLookupCostsTheSameInAnyFleet(t *testing.T) {
+	sizes := []int{10, 50, 250}
+	if !testing.Short() {
+		sizes = append(sizes, 1000)
+	}
+	for _, agents := range sizes {
+		t.Run(fmt.Sprintf("%d upstreams", agents), func(t *testing.T) {
+			w := site(t, 1, 6, agents, 300)
+			measure := func(what string, most float64, harm func()) {
+				harm()
+				w.lookups = traffic{}
+				before := w.lookupsOf()
+				w.run(w.now + 3*time.Second)
+				n := float64(w.lookupsOf() - before)
+				per := float64(w.lookups.messages) / n
+				t.Logf("%d upstreams, flows that %s: %v lookups, %.1f messages and %.0f B each", agents, what, n, per, float64(w.lookups.bytes)/n)
+				if n < 20 || per > most {
+					t.Errorf("flows that %s: %.1f messages each for %v lookups, want at most %v", what, per, n, most)
+				}
+			}
+			measure("live", 2*livingLookup, func() {
+				for _, v := range w.balancersInOrder()[:3] {
+					v.stop()
+					v.start()
+				}
+				w.run(w.now + 20*time.Millisecond)
+			})
+			measure("are gone", 4*livingLookup, func() { w.powerLoss(500 * time.Millisecond); w.run(w.now + 500*time.Millisecond) })
+			w.check(t)
+		})
+	}
+}
+
+// livingLookup is the messages of the plainest lookup: two homes, their answers, the
+// packet to the agent and its word.
+const livingLookup = 6
--- a/experiment/upstream.go
+++ b/experiment/upstream.go
@@ -64,7 +64,7 @@
 		return
 	}
 	u.vm.a.Announce(&datagram.Announcement{
-		ID: "i", Service: worldKey, Draining: u.draining, Slots: u.slots, Born: u.born, Sequence: u.sequence, Age: u.w.now - u.startedAt,
+		ID: "i", Service: u.vm.service, Draining: u.draining, Slots: u.slots, Born: u.born, Sequence: u.sequence, Age: u.w.now - u.startedAt,
 	}, u.w.now-u.vm.since)
 	if u.draining && u.ackedAt == 0 {
 		u.ackedAt = u.w.now
@@ -113,6 +113,9 @@
 			w.breach("upstream got bytes that are no packet")
 			return
 		}
+		if !w.allowed[u.vm.service] {
+			w.breach("packet at an upstream of a service to which no configuration led")
+		}
 		h := u.flows[p.Flow]
 		switch {
 		case p.Open:
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -26,6 +26,7 @@
 	seq       int
 	keys      link.Keys
 	config    *datagram.Configuration
+	allowed   map[datagram.ServiceKey]bool // services to which the route has ever led
 	out       []datagram.ZoneKey
 	revision  uint64
 	records   []datagram.Member
@@ -49,6 +50,7 @@
 	stranded     int // begun after mark and failed on flows whose upstreams live
 	shed         int
 	heard        map[datagram.IP]int // bytes of control messages, with their headers
+	lookups      traffic             // messages by which flows are looked for
 	waits        []time.Duration
 	breaches     []string
 	// dayStart is when the day began; what callers get is counted by second from then.
@@ -119,16 +121,37 @@
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), keys: link.NewKeys(r), revision: 1,
 		balancers: map[datagram.IP]*balancerVM{}, agents: map[datagram.IP]*agentVM{}, callers: map[datagram.IP]*caller{},
 		holders: map[datagram.Flow]*upstream{}, astray: map[datagram.Flow]*astray{},
+		allowed: map[datagram.ServiceKey]bool{},
 	}
-	w.config = &datagram.Configuration{
-		Version:     1,
-		Routes:      map[datagram.Endpoint]datagram.Route{worldAddress: {Aim: worldAim, Shares: []datagram.Share{{Service: worldKey, Weight: 1}}}},
-		Services:    map[datagram.ServiceKey]datagram.Service{worldKey: {Name: worldService}},
-		IdleTimeout: worldIdle,
-	}
+	w.configure(1, datagram.Share{Service: worldKey, Weight: 1})
 	return w, nil
 }
 
+// configure writes a configuration in which the route leads to the services. Balancers
+// read it within 0.3 s.
+func (w *world) configure(v datagram.Version, ss ...datagram.Share) {
+	c := &datagram.Configuration{
+		Version: v, IdleTimeout: worldIdle,
+		Routes:   map[datagram.Endpoint]datagram.Route{},
+		Services: map[datagram.ServiceKey]datagram.Service{worldKey: {Name: worldService}},
+	}
+	if len(ss) > 0 {
+		c.Routes[worldAddress] = datagram.Route{Aim: worldAim, Shares: ss}
+	}
+	for _, s := range ss {
+		w.allowed[s.Service] = true
+	}
+	w.config = c
+	for _, b := range w.balancersInOrder() {
+		life := b.life
+		w.after(time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() {
+			if b.life == life {
+				b.b.SetConfiguration(c)
+			}
+		})
+	}
+}
+
 func (w *world) after(d time.Duration, f func()) { w.afterAs(d, 0, f) }
 
 func (w *world) afterAs(d time.Duration, key uint64, f func()) {
@@ -195,8 +218,13 @@
 	if w.cut[from] != w.cut[to] || w.mute[from] {
 		return
 	}
-	if k := datagram.Kind(m[1]); w.heard != nil && k >= datagram.KindAgent {
-		w.heard[to] += len(m) + 28 // IP and UDP
+	k := datagram.Kind(m[1])
+	if w.heard != nil && k >= datagram.KindAgent {
+		w.heard[to] += len(m) + packetHeaders
+	}
+	if ofLookup(k, datagram.Flags(m[5])) {
+		w.lookups.messages++
+		w.lookups.bytes += len(m) + packetHeaders
 	}
 	w.deliver(from, to, m, func(c []byte) {
 		if a := w.agents[to]; a != nil && a.up {
@@ -210,6 +238,23 @@
 	})
 }
 
+// packetHeaders are the bytes of IP and UDP before a message.
+const packetHeaders = 28
+
+// traffic counts messages.
+type traffic struct{ messages, bytes int }
+
+// ofLookup reports whether a message is one by which a flow is looked for.
+func ofLookup(k datagram.Kind, f datagram.Flags) bool {
+	switch k {
+	case datagram.KindLocate, datagram.KindLocated, datagram.KindDenied, datagram.KindMine, datagram.KindNotMine:
+		return true
+	case datagram.KindPacket:
+		return f&datagram.FlagLookup != 0
+	}
+	return false
+}
+
 // balancersInOrder returns the balancers by address.
 func (w *world) balancersInOrder() []*balancerVM {
 	vs := slices.Collect(maps.Values(w.balancers))
@@ -276,14 +321,15 @@
 }
 
 type agentVM struct {
-	w     *world
-	ip    datagram.IP
-	zone  string
-	a     *datagram.Agent
-	u     *upstream
-	up    bool
-	since time.Duration
-	life  int
+	w       *world
+	ip      datagram.IP
+	zone    string
+	service datagram.ServiceKey
+	a       *datagram.Agent
+	u       *upstream
+	up      bool
+	since   time.Duration
+	life    int
 }
 
 func (v *agentVM) ToProcess(ip datagram.IP, m []byte) { v.w.toProcess(v.ip, ip, m) }
@@ -292,10 +338,13 @@
 
 func (v *agentVM) ToUpstream(p []byte) { v.u.take(append([]byte(nil), p...)) }
 
-func (w *world) addAgent(n int, zone string) *agentVM {
-	v := &agentVM{w: w, ip: datagram.IP(0x0a000200 + n), zone: zone}
+func (w *world) addAgent(n int, zone string) *agentVM { return w.addAgentOf(n, zone, worldKey) }
+
+// addAgentOf adds a VM with an upstream of the service.
+func (w *world) addAgentOf(n int, zone string, service datagram.ServiceKey) *agentVM {
+	v := &agentVM{w: w, ip: datagram.IP(0x0a010000 + n), zone: zone, service: service}
 	w.agents[v.ip] = v
-	w.records = append(w.records, datagram.Member{IP: v.ip, Agent: true, Service: worldKey, Zone: datagram.ZoneKeyOf(zone)})
+	w.records = append(w.records, datagram.Member{IP: v.ip, Agent: true, Service: service, Zone: datagram.ZoneKeyOf(zone)})
 	v.u = &upstream{w: w, vm: v, slots: 5, work: 30 * time.Millisecond}
 	v.start()
 	w.after(10*time.Millisecond, v.u.start)
@@ -305,7 +354,7 @@
 func (v *agentVM) start() {
 	w := v.w
 	v.up, v.since, v.life = true, w.now, v.life+1
-	v.a = &datagram.Agent{Life: w.newLife(), Service: worldKey, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.Packets{}, Out: v, Keys: w.keys, BusyAt: w.busyAt}
+	v.a = &datagram.Agent{Life: w.newLife(), Service: v.service, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.Packets{}, Out: v, Keys: w.keys, BusyAt: w.busyAt}
 	life := v.life
 	v.a.Probe = func() {
 		w.after(time.Millisecond, func() {
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -56,7 +56,7 @@
 	}
 	b.balancer = &datagram.Balancer{
 		Self: s.self(), Life: s.life, Zone: datagram.ZoneKeyOf(s.settings.Zone), Format: platform.Packets{}, Out: b, Keys: s.keys,
-		Log: &datagram.Log{Log: s.log, Most: o.Lines},
+		Log: &datagram.Log{Log: s.log, Most: o.Lines}, LookupRate: datagram.LookupRate(s.settings.Cores, s.settings.Bandwidth),
 	}
 	b.balancer.Observe = s.observe
 	b.offers = make(chan datagram.IP, 1)
--- a/node/relay_bench_test.go
+++ b/node/relay_bench_test.go
@@ -79,7 +79,7 @@
 	b.ReportMetric(float64(spent[0].Nanoseconds())/float64(b.N), "bare-ns/packet")
 	b.ReportMetric(float64(spent[1].Nanoseconds())/float64(b.N), "ns/packet")
 	b.ReportMetric(float64(spent[0])/float64(spent[1]), "ratio")
-	if x.Count.Packets == 0 || x.Count.Walked > 0 {
+	if x.Count.Packets == 0 || x.Count.Lookups > 0 {
 		b.Errorf("the flow was not remembered: %+v", x.Count)
 	}
 }
