Send fewer statuses while VMs return

Change: records read again tell those alone that were never told; an agent that knows the balancer is not answered; who chooses homes among other balancers is told after 0.25 s; an agent that learns of several balancers tells of the last set, at most four delays late; a first configuration is told to balancers alone.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -45,6 +45,7 @@
 	balancers map[IP]*balancerView
 	homes     homeSet
 	homesTell time.Duration // when all are to be told of another set; 0: never
+	homesLast time.Duration // and the latest time for that
 	zoneOut   bool
 	outSince  time.Duration
 	revision  uint64
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -33,9 +33,9 @@
 	// told is when a balancer near the agent said that it is silent; 0: not.
 	told       time.Duration
 	toldStatus time.Duration // when this balancer told the agent its own status
-	introduced time.Duration // and when it did so last for want of balancers
-	work       int           // flows and requests there, by its latest word
-	asked      int           // openings that it has not answered yet
+	differs    difference
+	work       int // flows and requests there, by its latest word
+	asked      int // openings that it has not answered yet
 	// declined is when it said that it is busy, by how pressing the opening was.
 	declined [pressingEnd]time.Duration
 	former   [4]Life
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -147,7 +147,7 @@
 			b.meet(m.IP, now)
 		}
 	}
-	b.tell(now)
+	b.tellNew(now)
 }
 
 // Leave says that the balancer is about to stop.
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -13,7 +13,7 @@
 	life        Life
 	noted       time.Duration // when it was known first
 	heard, told time.Duration // 0: never
-	introduced  time.Duration // when it was told last for want of balancers
+	differs     difference
 }
 
 func (p *peerView) lastSign() time.Duration { return max(p.noted, p.heard) }
@@ -72,12 +72,12 @@
 	if changed {
 		b.Log.agentChanged(from, &s, "")
 	}
-	if born {
-		b.tellOne(from)
+	if a := b.agents.byIP[from]; born && (s.Epoch == 0 || a.toldStatus == 0) {
+		b.tellOne(from, now) // it has not heard this balancer
 	}
 	if a := b.agents.byIP[from]; a != nil && a.status.Life == s.Life && a.status.Sequence == s.Sequence {
 		b.checkEntries(from, &a.status, now)
-		b.introduce(from, s.Homes, &a.introduced, now)
+		b.introduce(from, s.Homes, &a.differs, now)
 	}
 }
 
@@ -91,36 +91,46 @@
 	p := b.peers[from]
 	if p.heard = now; p.life != s.Life {
 		p.life = s.Life
-		b.tellOne(from) // it has just started and knows few
+		b.tellOne(from, now) // it has just started and knows few
 		b.updateHomes(now)
 	}
 	for _, ip := range s.Balancers {
 		if b.meet(ip, now) {
-			b.tellOne(ip)
+			b.tellOne(ip, now)
 		}
 	}
-	b.introduce(from, s.Homes, &p.introduced, now)
+	b.introduce(from, s.Homes, &p.differs, now)
 	b.SetZonesOut(s.Zones, s.Revision, now)
 	if s.Version > b.Configured() && b.Behind != nil {
 		b.Behind(from, s.Version)
 	}
 }
 
-// introduceEvery spaces what one process is told for want of balancers, and
-// introduceEach keeps that small in a large fleet.
+// difference is since when a process chooses homes among other balancers.
+type difference struct{ since, told time.Duration }
+
+// introduceAfter lets processes that start together hear of each other by themselves,
+// and introduceEach keeps what is told for want of balancers small in a large fleet.
 const (
-	introduceEvery = 150 * time.Millisecond
+	introduceAfter = 250 * time.Millisecond
 	introduceEach  = time.Millisecond
 )
 
-// introduce tells a process of the balancers if it knows others than this one.
-func (b *Balancer) introduce(to IP, homes uint64, last *time.Duration, now time.Duration) {
-	every := introduceEvery + time.Duration(len(b.agents.byIP))*introduceEach
-	if homes == b.homes.digest || *last != 0 && now-*last < every {
+// introduce tells a process of the balancers if it has known others than this one for
+// long, as what it was told was lost.
+func (b *Balancer) introduce(to IP, homes uint64, d *difference, now time.Duration) {
+	if homes == b.homes.digest {
+		*d = difference{}
 		return
 	}
-	*last = now
-	b.tellOne(to)
+	if d.since == 0 {
+		d.since = now
+	}
+	after := introduceAfter + time.Duration(len(b.agents.byIP))*introduceEach
+	if now-max(d.since, d.told) >= after {
+		d.told = now
+		b.tellOne(to, now)
+	}
 }
 
 // meet notes a balancer and reports whether it was not known.
@@ -215,8 +225,28 @@
 	}
 }
 
-// Tell sends the balancer's status to all that it knows, as it has a configuration now.
-func (b *Balancer) Tell(now time.Duration) { b.tell(now) }
+// Tell sends the balancer's status to the other balancers, as it has a configuration now.
+func (b *Balancer) Tell(now time.Duration) {
+	m := b.statusMessage(shownSome)
+	for ip, p := range b.peers {
+		p.told = now
+		b.Out.ToProcess(ip, m)
+	}
+}
+
+// tellNew sends it to those that were never told.
+func (b *Balancer) tellNew(now time.Duration) {
+	for ip, a := range b.agents.byIP {
+		if a.toldStatus == 0 {
+			b.tellOne(ip, now)
+		}
+	}
+	for ip, p := range b.peers {
+		if p.told == 0 {
+			b.tellOne(ip, now)
+		}
+	}
+}
 
 // tell sends the balancer's status to all that it knows, as something changed.
 func (b *Balancer) tell(now time.Duration) { b.tellThose(now, 0, 0) }
@@ -257,7 +287,16 @@
 // named as many as fit.
 const shownSome = 4
 
-func (b *Balancer) tellOne(ip IP) { b.Out.ToProcess(ip, b.statusMessage(balancersMost)) }
+// tellOne sends it to one process, with as many balancers as fit.
+func (b *Balancer) tellOne(ip IP, now time.Duration) {
+	if a := b.agents.byIP[ip]; a != nil {
+		a.toldStatus = now
+	}
+	if p := b.peers[ip]; p != nil {
+		p.told = now
+	}
+	b.Out.ToProcess(ip, b.statusMessage(balancersMost))
+}
 
 func (b *Balancer) statusMessage(most int) []byte {
 	s := BalancerStatus{
--- a/datagram/registrar.go
+++ b/datagram/registrar.go
@@ -14,10 +14,12 @@
 	// refreshEvery is how often an agent tells of a flow again, as homes forget what
 	// nobody repeats.
 	refreshEvery = 4 * time.Minute
-	// homesDelay and homesDelayEach gather changes of the set of balancers, of which
-	// there are many when all return, before all are told of the new one.
+	// homesDelay, and homesDelayEach for each agent, gather changes of the set of
+	// balancers, of which there are many when all return, before all are told of the
+	// last; homesDelays bounds how often that is put off.
 	homesDelay     = 100 * time.Millisecond
 	homesDelayEach = 200 * time.Microsecond
+	homesDelays    = 4
 )
 
 // held reports whether the flow is one that homes are told of.
@@ -86,9 +88,11 @@
 	if a.homes = newHomeSet(ips); a.homes.equal(&old) {
 		return
 	}
+	delay := homesDelay + time.Duration(a.agents)*homesDelayEach
 	if a.homesTell == 0 {
-		a.homesTell = now + homesDelay + time.Duration(a.agents)*homesDelayEach
+		a.homesLast = now + homesDelays*delay
 	}
+	a.homesTell = min(now+delay, a.homesLast)
 	moved := map[IP][]Flow{}
 	for k, f := range a.flows.all() {
 		if !a.held(f) {
--- a/datagram/status.go
+++ b/datagram/status.go
@@ -56,7 +56,8 @@
 	Every Millis
 	// Homes is the digest of the balancers among which the agent chooses homes.
 	Homes uint64
-	// Entries is how many the agent has told the receiver since Epoch began.
+	// Entries is how many the agent has told the receiver since Epoch began; 0 is before
+	// the agent has heard the receiver.
 	Epoch, Entries uint32
 	// KnowsAll: the agent knows every flow of its upstream.
 	KnowsAll bool
