Play balancers with slow processors in memory

Change: a balancer's VM may take time for each message that it takes or sends, in turn, and drops what waits for over a second.

--- a/experiment/world.go
+++ b/experiment/world.go
@@ -199,11 +199,49 @@
 	since time.Duration
 	due   time.Duration // when it is called next
 	life  int
+	// cost is what a message that is taken or sent costs of the processor; 0: nothing.
+	cost time.Duration
+	free time.Duration // when the processor has done what it was given
 }
 
-func (v *balancerVM) ToProcess(ip datagram.IP, m []byte) { v.w.toProcess(v.ip, ip, m) }
+// unreadMost is the work that waits for a processor before datagrams are dropped.
+const unreadMost = time.Second
 
-func (v *balancerVM) ToCaller(ip datagram.IP, p []byte) { v.w.toCaller(ip, p, nil) }
+// work has the VM's processor do something, in turn.
+func (v *balancerVM) work(f func()) {
+	if v.cost == 0 {
+		f()
+		return
+	}
+	v.free = max(v.free, v.w.now) + v.cost
+	life := v.life
+	v.w.after(v.free-v.w.now, func() {
+		if v.life == life {
+			f()
+		}
+	})
+}
+
+// take has it handle a datagram, unless too many wait.
+func (v *balancerVM) take(f func()) {
+	if v.up && v.free-v.w.now < unreadMost {
+		v.work(f)
+	}
+}
+
+func (v *balancerVM) ToProcess(ip datagram.IP, m []byte) {
+	if v.cost > 0 {
+		m = append([]byte(nil), m...)
+	}
+	v.work(func() { v.w.toProcess(v.ip, ip, m) })
+}
+
+func (v *balancerVM) ToCaller(ip datagram.IP, p []byte) {
+	if v.cost > 0 {
+		p = append([]byte(nil), p...)
+	}
+	v.work(func() { v.w.toCaller(ip, p, nil) })
+}
 
 func (w *world) toProcess(from, to datagram.IP, m []byte) {
 	if w.busy > 0 {
@@ -231,9 +269,11 @@
 			a.a.HandleMessage(from, c, w.now-a.since)
 			a.a.Tick(w.now - a.since) // as the program does after each datagram
 		}
-		if b := w.balancers[to]; b != nil && b.up {
-			b.b.HandleMessage(from, c, w.now-b.since)
-			b.arm()
+		if b := w.balancers[to]; b != nil {
+			b.take(func() {
+				b.b.HandleMessage(from, c, w.now-b.since)
+				b.arm()
+			})
 		}
 	})
 }
@@ -285,7 +325,7 @@
 
 func (v *balancerVM) start() {
 	w := v.w
-	v.up, v.since, v.life, v.due = true, w.now, v.life+1, 0
+	v.up, v.since, v.life, v.due, v.free = true, w.now, v.life+1, 0, 0
 	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.Packets{}, Out: v, Keys: w.keys, Placement: w.placement}
 	v.b.Start()
 	life := v.life
@@ -402,10 +442,10 @@
 		return
 	}
 	w.deliver(f.Caller.IP, v.ip, p, func(c []byte) {
-		if v.up {
+		v.take(func() {
 			v.b.HandleCaller(withRoom(c), w.now-v.since)
 			v.arm()
-		}
+		})
 	})
 }
 
