Tell flows to every balancer that may believe to be their home

Another hole, found by reading: an agent asked to tell all again left out flows of earlier sets. And homes were unsure of everything while agents chose among more than 16 sets. Change: all sets of the last 4 s count, also when all is told again; balancers that start within 20 ms are one change; those that were added are told at once, the others within 0.5 to 1 s and twice; 64 sets. Measured: TestFlowsAreToldToWhoeverBelievesToBeTheirHome fails with eight sets ('after 12 balancers, 0.0.0.103 is a home of flow 59 among 3 and was not told') and passes.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -44,27 +44,30 @@
 	upstream  upstream
 	balancers map[IP]*balancerView
 	homes     homeSet
+	homesDue  time.Duration // when the set is to be worked out again; 0: never
 	homesTell time.Duration // when all are to be told of another set; 0: never
 	homesLast time.Duration // and the latest time for that
 	former    []formerHomes
-	zoneOut   bool
-	outSince  time.Duration
-	revision  uint64
-	version   Version
-	leaving   bool
-	flows     table[*flowState]
-	open      int
-	underWay  int
-	coming    coming
-	counted   time.Duration
-	probing   bool
-	probed    time.Duration // when the last probe began; 0: never
-	pending   [pendingMost]pending
-	last      uint32
-	sequence  uint32
-	status    time.Duration
-	agents    int // of the fleet, as balancers say
-	scratch   [2048]byte
+	// homesTells is how often all are still to be told of the set.
+	homesTells int
+	zoneOut    bool
+	outSince   time.Duration
+	revision   uint64
+	version    Version
+	leaving    bool
+	flows      table[*flowState]
+	open       int
+	underWay   int
+	coming     coming
+	counted    time.Duration
+	probing    bool
+	probed     time.Duration // when the last probe began; 0: never
+	pending    [pendingMost]pending
+	last       uint32
+	sequence   uint32
+	status     time.Duration
+	agents     int // of the fleet, as balancers say
+	scratch    [2048]byte
 }
 
 // AgentCounts count decisions.
@@ -211,9 +214,12 @@
 		// It has just started and knows no agent: it would pass over this one, and
 		// could tell nobody that a flow is gone, until the next status.
 		b.life = s.Life
-		a.updateHomes(from, now)
 		a.enterAgain(from)
-		a.greet(from, now)
+		if slices.Contains(a.homes.ips, from) {
+			a.greet(from, now)
+		} else if a.homesDue == 0 {
+			a.homesDue = now + homesGather // it is greeted with the set of which it is then one
+		}
 	}
 	a.agents = int(s.Agents)
 	for _, ip := range s.Balancers {
@@ -250,8 +256,14 @@
 		a.recount(now)
 		a.refresh(now)
 	}
+	if a.homesDue != 0 && now >= a.homesDue {
+		a.updateHomes(now)
+	}
 	if a.homesTell != 0 && now >= a.homesTell {
 		a.homesTell = 0
+		if a.homesTells--; a.homesTells > 0 {
+			a.homesTell = now + homesDelay
+		}
 		a.tell(now)
 	}
 	if now-a.status >= StatusEvery {
@@ -262,12 +274,14 @@
 				delete(a.balancers, ip)
 			}
 		}
-		a.updateHomes(0, now)
+		a.updateHomes(now)
 		a.forgetFormer(now)
 	}
 	at := min(a.status+StatusEvery, a.probeDue())
-	if a.homesTell != 0 {
-		at = min(at, a.homesTell)
+	for _, due := range []time.Duration{a.homesDue, a.homesTell} {
+		if due != 0 {
+			at = min(at, due)
+		}
 	}
 	return at
 }
--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -212,8 +212,9 @@
 	return 2*unheard <= len(b.agents.byIP)
 }
 
-// setsMost bounds the sets that are looked at for each flow.
-const setsMost = 16
+// setsMost bounds the sets that are looked at for each flow: agents hear of balancers
+// that start together in other orders.
+const setsMost = 64
 
 // add notes a set among which an agent chooses homes; false if there are too many.
 func (c *coverage) add(s homeSet) bool {
--- a/datagram/directory_test.go
+++ b/datagram/directory_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"pomeloway.example/pomeloway/link"
 )
 
 // Guards against homes that differ between processes, and move more than they must.
@@ -222,6 +224,8 @@
 	for ip := IP(101); ip <= 104; ip++ {
 		hear(ip)
 	}
+	now += homesGather
+	a.Tick(now)
 	for port := range uint16(100) {
 		f := &flowState{phase: flowOpen}
 		a.flows.set(testFlow(port), f)
@@ -242,6 +246,8 @@
 	}
 	told(newHomeSet([]IP{101, 102, 103, 104}))
 	hear(105)
+	now += homesGather
+	a.Tick(now)
 	told(newHomeSet([]IP{101, 102, 103, 104, 105}))
 	if n := a.balancers[105].entries; n < 20 || n > 60 {
 		t.Errorf("a fifth balancer was told of %d of 100 flows, want about 40", n)
@@ -269,3 +275,79 @@
 		b.locate(2, p, time.Second)
 	})
 }
+
+// believers keeps what each balancer was told: among which balancers the agent chooses
+// homes, and which flows it holds.
+type believers struct {
+	keys  link.Keys
+	sets  map[IP]homeSet
+	flows map[IP]map[Flow]bool
+}
+
+func (o *believers) ToProcess(to IP, m []byte) {
+	var h Message
+	p, _ := h.Get(m, o.keys)
+	switch h.Kind {
+	case KindAgent:
+		var s AgentStatus
+		if ips, ok := s.decodeWithHomes(p); ok && len(ips) > 0 {
+			o.sets[to] = newHomeSet(ips)
+		}
+	case KindEntries:
+		if o.flows[to] == nil {
+			o.flows[to] = map[Flow]bool{}
+		}
+		for p = p[entriesHeadLen:]; len(p) > 0; p = p[flowLen:] {
+			f, _ := flowFrom(p)
+			o.flows[to][f] = true
+		}
+	}
+}
+
+func (o *believers) ToCaller(IP, []byte) {}
+
+func (o *believers) ToUpstream([]byte) {}
+
+// Guards against the reset of a flow that lives: while balancers start one after another,
+// one of them believes that the agent chooses homes among the few that it knew first, and
+// so that it would have been told of every flow that it is home of by that.
+func TestFlowsAreToldToWhoeverBelievesToBeTheirHome(t *testing.T) {
+	keys := testKeys(t)
+	o := &believers{keys: keys, sets: map[IP]homeSet{}, flows: map[IP]map[Flow]bool{}}
+	a := &Agent{Service: 7, Format: plain{}, Out: o, Keys: keys}
+	a.Start()
+	a.Announce(&Announcement{Service: 7, Born: 5, Sequence: 1, Slots: 5}, 0)
+	now := time.Second
+	port := uint16(0)
+	for ip := IP(101); ip <= 140; ip++ {
+		m := (&BalancerStatus{Life: Life(ip), Agents: 1}).append(make([]byte, HeaderLen))
+		h := Message{Kind: KindBalancer}
+		h.Put(m, keys[0])
+		a.HandleMessage(ip, m, now)
+		for range 5 {
+			now += 6 * time.Millisecond
+			a.Tick(now)
+			port++
+			f := &flowState{phase: flowAccepted, born: 5}
+			a.flows.set(testFlow(port), f)
+			a.register(testFlow(port), f, now)
+		}
+		if ip%10 == 0 {
+			m := make([]byte, HeaderLen)
+			h := Message{Kind: KindResend}
+			h.Put(m, keys[0])
+			delete(o.flows, ip-5)
+			a.HandleMessage(ip-5, m, now)
+		}
+		for b, s := range o.sets {
+			for p := uint16(1); p <= port; p++ {
+				if s.of(testFlow(p)).has(b) && !o.flows[b][testFlow(p)] {
+					t.Fatalf("after %d balancers, %v is a home of flow %d among %d and was not told", ip-100, b, p, len(s.ips))
+				}
+			}
+		}
+	}
+	if len(o.sets) < 39 {
+		t.Errorf("only %d balancers were told a set", len(o.sets))
+	}
+}
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -116,7 +116,7 @@
 // introduceAfter lets processes that start together hear of each other by themselves,
 // and introduceEach keeps what is told for want of balancers small in a large fleet.
 const (
-	introduceAfter = 100 * time.Millisecond
+	introduceAfter = time.Second
 	introduceEvery = 250 * time.Millisecond
 	introduceEach  = time.Millisecond
 )
--- a/datagram/registrar.go
+++ b/datagram/registrar.go
@@ -14,19 +14,23 @@
 	// refreshEvery is how often an agent tells of a flow again, as homes forget what
 	// nobody repeats.
 	refreshEvery = 4 * time.Minute
-	// homesDelay, and homesDelayEach for each agent, gather changes of the set of
-	// balancers, of which there are many when all return, before all are told of the
-	// last; homesDelays bounds how often that is put off.
-	homesDelay     = 100 * time.Millisecond
+	// homesGather gathers balancers that start together into one change of the set.
+	homesGather = 20 * time.Millisecond
+	// homesDelay, and homesDelayEach for each agent, gather changes of the set before
+	// all are told of the last; homesDelays bounds how often that is put off. Those that
+	// were added are told at once, and homesTells is how often all are, as datagrams
+	// are lost.
+	homesDelay     = 500 * time.Millisecond
 	homesDelayEach = 200 * time.Microsecond
-	homesDelays    = 4
+	homesDelays    = 2
+	homesTells     = 2
 	// homesListed bounds the sets that are listed in statuses while they change.
 	homesListed = 64
 	// formerFor is how long flows are also told to the homes of an earlier set, as
-	// balancers may believe that it is in use. It is over the way of a status.
-	formerFor = 2 * time.Second
-	// formerMost bounds the earlier sets.
-	formerMost = 8
+	// balancers may believe that it is in use: until all are surely told of a later one.
+	formerFor = 4 * time.Second
+	// formerMost bounds the earlier sets to as many as there can be in that time.
+	formerMost = int(formerFor / homesGather)
 )
 
 // formerHomes is a set that was in use until shortly.
@@ -43,19 +47,26 @@
 // register tells the flow's homes that it is here.
 func (a *Agent) register(k Flow, f *flowState, now time.Duration) {
 	f.registered = now
-	told := a.homes.of(k)
-	for _, ip := range told {
+	for _, ip := range a.homesOf(k) {
 		a.enter(ip, []Flow{k})
 	}
-	extra := told[:]
-	for i := range a.former {
-		for _, ip := range a.former[i].of(k) {
-			if !slices.Contains(extra, ip) {
-				extra = append(extra, ip)
-				a.enter(ip, []Flow{k})
+}
+
+// homesOf returns all balancers that may be taken for homes of the flow.
+func (a *Agent) homesOf(k Flow) []IP {
+	var ips []IP
+	add := func(h homes) {
+		for _, ip := range h {
+			if ip != 0 && !slices.Contains(ips, ip) {
+				ips = append(ips, ip)
 			}
 		}
 	}
+	add(a.homes.of(k))
+	for i := range a.former {
+		add(a.former[i].of(k))
+	}
+	return ips
 }
 
 // enter tells a home of flows that are here.
@@ -88,7 +99,7 @@
 	v.epoch, v.entries = v.epoch+1, 0
 	var ks []Flow
 	for k, f := range a.flows.all() {
-		if a.held(f) && a.homes.of(k).has(ip) {
+		if a.held(f) && slices.Contains(a.homesOf(k), ip) {
 			ks = append(ks, k)
 		}
 	}
@@ -96,8 +107,9 @@
 }
 
 // updateHomes works out which balancers are homes, and tells those that became one of a
-// flow by it, but for the one that is told everything.
-func (a *Agent) updateHomes(except IP, now time.Duration) {
+// flow by it.
+func (a *Agent) updateHomes(now time.Duration) {
+	a.homesDue = 0
 	var ips []IP
 	after := homeSilentAfter(len(a.balancers))
 	for ip, v := range a.balancers {
@@ -110,11 +122,7 @@
 		return
 	}
 	a.former = append(a.former[max(0, len(a.former)+1-formerMost):], formerHomes{old, now + formerFor})
-	delay := homesDelay + time.Duration(a.agents)*homesDelayEach
-	if a.homesTell == 0 {
-		a.homesLast = now + homesDelays*delay
-	}
-	a.homesTell = min(now+delay, a.homesLast)
+	a.tellHomes(now)
 	moved := map[IP][]Flow{}
 	for k, f := range a.flows.all() {
 		if !a.held(f) {
@@ -122,14 +130,26 @@
 		}
 		before := old.of(k)
 		for _, ip := range a.homes.of(k) {
-			if ip != 0 && ip != except && !before.has(ip) {
+			if ip != 0 && !before.has(ip) {
 				moved[ip] = append(moved[ip], k)
 			}
 		}
 	}
-	for ip, ks := range moved {
-		a.enter(ip, ks)
+	for _, ip := range a.homes.ips {
+		a.enter(ip, moved[ip])
+		if !slices.Contains(old.ips, ip) {
+			a.greet(ip, now)
+		}
+	}
+}
+
+// tellHomes has all balancers told of a new set in a while.
+func (a *Agent) tellHomes(now time.Duration) {
+	delay := homesDelay + time.Duration(a.agents)*homesDelayEach
+	if a.homesTell == 0 {
+		a.homesLast = now + homesDelays*delay
 	}
+	a.homesTell, a.homesTells = min(now+delay, a.homesLast), homesTells
 }
 
 // forgetFormer drops the sets that nobody believes to be in use any more.
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -202,6 +202,32 @@
 	// cost is what a message that is taken or sent costs of the processor; 0: nothing.
 	cost time.Duration
 	free time.Duration // when the processor has done what it was given
+	// outbox is what it sends at this moment, which is sent in an order of its own, as
+	// members are told in that of a map.
+	outbox []sending
+}
+
+// sending is a message on its way out.
+type sending struct {
+	to datagram.IP
+	m  []byte
+}
+
+// post sends a message when the processor gets to it.
+func (v *balancerVM) post(to datagram.IP, m []byte) {
+	if len(v.outbox) == 0 {
+		v.w.after(0, v.flush)
+	}
+	v.outbox = append(v.outbox, sending{to, append([]byte(nil), m...)})
+}
+
+func (v *balancerVM) flush() {
+	out := v.outbox
+	v.outbox = nil
+	slices.SortStableFunc(out, func(a, b sending) int { return cmp.Compare(a.to, b.to) })
+	for _, x := range out {
+		v.work(func() { v.w.toProcess(v.ip, x.to, x.m) })
+	}
 }
 
 // unreadMost is the work that waits for a processor before datagrams are dropped.
@@ -231,9 +257,10 @@
 
 func (v *balancerVM) ToProcess(ip datagram.IP, m []byte) {
 	if v.cost > 0 {
-		m = append([]byte(nil), m...)
+		v.post(ip, m)
+		return
 	}
-	v.work(func() { v.w.toProcess(v.ip, ip, m) })
+	v.w.toProcess(v.ip, ip, m)
 }
 
 func (v *balancerVM) ToCaller(ip datagram.IP, p []byte) {
