Let a caller choose one upstream alone, and give answers the time that they take

Traced: five agents were given one opening, as the balancer read each answer over 60 ms late; two upstreams accepted with numbers within 1 MB of each other (one in 4,000 pairs), the caller's packet was taken for a choice of the wrong one, its upstream bounced it, and the agent took that for the loss of an open flow. Change: the caller's first packet acknowledges one number, as an upstream that has just accepted has sent nothing else. How long an agent has for an opening follows observed answers, as RFC 6298 does round trips, 60 to 150 ms; and up to 16 events that wait are handled before it is judged what is overdue. Tests: TestCallerChoosesOneOfTwoUpstreams (fails without: 'given to the upstream: true' for a near number), TestAnswersHaveTheTimeThatTheyTake.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -109,10 +109,6 @@
 	// is left of the bound is for the word to come here, which takes some 50 ms.
 	cutFrom = 0.6
 	cutTill = 0.96
-	// chosenSpan is how far beyond the upstream's first number a caller's
-	// acknowledgement may be that chooses it: 1 MB, so that of two upstreams
-	// with random numbers the wrong one is taken once in 4,000 doubled openings.
-	chosenSpan = 1 << 20
 )
 
 // Start prepares the agent; its exported fields are set before.
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -84,8 +84,9 @@
 	case f.born != 0 && f.born != a.upstream.born, a.upstream.state == UpstreamAbsent:
 		a.lost(k, f, now)
 		return
-	case f.phase == flowOffered, f.phase == flowAccepted && k.Number-f.accepted-1 > chosenSpan:
-		// The caller chose another upstream that was offered the same opening.
+	case f.phase == flowOffered, f.phase == flowAccepted && k.Number != f.accepted+1:
+		// The caller chose another upstream that was offered the same opening. This one
+		// has sent nothing but its acceptance, so there is one number to acknowledge.
 		a.flows.remove(k.Flow)
 		a.pass(from, h, m)
 		return
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -1,6 +1,7 @@
 package datagram
 
 import (
+	"encoding/binary"
 	"testing"
 	"time"
 )
@@ -107,3 +108,46 @@
 		})
 	}
 }
+
+// numbered is a format whose packets end with what they acknowledge.
+type numbered struct{ plain }
+
+func (numbered) Parse(b []byte) (Packet, bool) {
+	p, ok := plain{}.Parse(b)
+	p.Number = binary.BigEndian.Uint32(b[len(b)-4:])
+	return p, ok
+}
+
+// Guards against the reset of a flow that lives at another upstream: two accepted the
+// opening with numbers near each other, the caller's packet was taken for a choice of the
+// wrong one, and what that bounced for a flow that it had lost.
+func TestCallerChoosesOneOfTwoUpstreams(t *testing.T) {
+	const accepted = 1 << 31
+	for name, x := range map[string]struct {
+		number uint32
+		chosen bool
+	}{
+		"this one":               {accepted + 1, true},
+		"one with a near number": {accepted + 500, false},
+		"one just before":        {accepted, false},
+		"another":                {17, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSent(t)
+			a := &Agent{Service: 7, Format: numbered{}, Out: s, Keys: testKeys(t)}
+			a.Start()
+			a.Announce(&Announcement{Service: 7, Born: 5, Sequence: 1, Slots: 5}, time.Second)
+			a.flows.set(testFlow(9), &flowState{phase: flowAccepted, born: 5, accepted: accepted})
+			m := binary.BigEndian.AppendUint32(plainPacket(plainData, 9), x.number)
+			h := Message{Kind: KindPacket}
+			h.Put(m, a.Keys[0])
+			a.HandleMessage(1, m, 2*time.Second)
+			if given := s.upstream == 1; given != x.chosen {
+				t.Errorf("given to the upstream: %t", given)
+			}
+			if !x.chosen && (len(s.process) != 1 || s.process[0].Kind != KindNotMine) {
+				t.Errorf("sent %+v", s.process)
+			}
+		})
+	}
+}
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -13,10 +13,11 @@
 // instead of waiting for the caller's copy.
 
 const (
-	// answerWithin is how long an agent has for an opening: the way there and
-	// back between availability zones is 3 ms, a handshake 0.3 ms, and a busy
-	// process answers within some 20 ms. The caller's own copy comes after 200 ms.
+	// answerWithin is how long an agent has for an opening at least, and answerMost at
+	// most, on a balancer that is slow to read answers. The caller's own copy comes
+	// after 200 ms.
 	answerWithin = 60 * time.Millisecond
+	answerMost   = 150 * time.Millisecond
 	// openingLife is how long a caller waits for its flow, 1.4 s, less the way
 	// of the answer.
 	openingLife = 1300 * time.Millisecond
@@ -60,9 +61,30 @@
 // openings is a ring of attempts, and a queue of their deadlines. There are two
 // lengths of waiting, so a new deadline stands at the queue's end or near it.
 type openings struct {
-	ring  []opening
-	last  uint32
-	queue []deadline
+	ring    []opening
+	last    uint32
+	queue   []deadline
+	answers answerTimes
+}
+
+// answerTimes follows how long answers take, as RFC 6298 does round trips: on a balancer
+// that is behind with its work they wait before they are read, and openings that were
+// given to the next agent meanwhile would be that much more work for both.
+type answerTimes struct{ mean, deviation time.Duration }
+
+// add takes in the time that an answer took.
+func (t *answerTimes) add(d time.Duration) {
+	if t.mean == 0 {
+		t.mean, t.deviation = d, d/2
+		return
+	}
+	t.deviation += ((d - t.mean).Abs() - t.deviation) / 4
+	t.mean += (d - t.mean) / 8
+}
+
+// limit returns how long an agent has.
+func (t *answerTimes) limit() time.Duration {
+	return min(max(answerWithin, t.mean+4*t.deviation), answerMost)
 }
 
 // deadline is when an agent's time for the opening ends. It is void once the
@@ -95,7 +117,7 @@
 // wait gives the agent that is asked its time.
 func (x *openings) wait(o *opening, now time.Duration) {
 	o.at = now
-	x.wake(o, now+answerWithin)
+	x.wake(o, now+x.answers.limit())
 }
 
 // wake gives the opening its next deadline, and the queue its order.
@@ -108,6 +130,16 @@
 	x.queue = slices.Insert(x.queue, i, deadline{o.id, at})
 }
 
+// answered notes the time of an answer; one that comes when another agent is asked has
+// taken no longer than since the opening began.
+func (x *openings) answered(o *opening, from IP, now time.Duration) {
+	since := o.at
+	if o.agent != from {
+		since = o.started
+	}
+	x.answers.add(now - since)
+}
+
 // due returns when the first deadline is.
 func (x *openings) due() time.Duration {
 	for len(x.queue) > 0 {
@@ -314,6 +346,7 @@
 	b.Count.Opened++
 	if o := b.openings.get(h.Opening); o != nil && o.flow == f {
 		b.Observe.note(ObserveOpening, now-o.started)
+		b.openings.answered(o, from, now)
 		*o = opening{}
 		b.flows.set(f, place{agent: from})
 	}
@@ -329,6 +362,7 @@
 		return
 	}
 	b.Count.Refused++
+	b.openings.answered(o, from, now)
 	if a := b.agents.byIP[from]; a != nil {
 		a.answered(h.Load)
 	}
--- a/datagram/openings_test.go
+++ b/datagram/openings_test.go
@@ -171,3 +171,28 @@
 		x.get(ids[want]).deadline = 0
 	}
 }
+
+// Guards against openings that are given to one agent after another, as a balancer that is
+// behind with its work does not read their answers in time.
+func TestAnswersHaveTheTimeThatTheyTake(t *testing.T) {
+	for name, x := range map[string]struct {
+		took        []time.Duration
+		least, most time.Duration
+	}{
+		"none yet":   {nil, answerWithin, answerWithin},
+		"fast":       {[]time.Duration{3 * time.Millisecond, 5 * time.Millisecond, 4 * time.Millisecond}, answerWithin, answerWithin},
+		"slow":       {[]time.Duration{80 * time.Millisecond, 90 * time.Millisecond, 80 * time.Millisecond, 100 * time.Millisecond}, 100 * time.Millisecond, answerMost},
+		"beyond use": {[]time.Duration{time.Second, time.Second}, answerMost, answerMost},
+		"fast again": {append([]time.Duration{200 * time.Millisecond}, make([]time.Duration, 40)...), answerWithin, answerWithin},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a answerTimes
+			for _, d := range x.took {
+				a.add(d)
+			}
+			if l := a.limit(); l < x.least || l > x.most {
+				t.Errorf("an agent has %v", l)
+			}
+		})
+	}
+}
--- a/node/loop.go
+++ b/node/loop.go
@@ -55,6 +55,9 @@
 // the busiest balancer, and 100 kB.
 const ringLen = 64
 
+// beforeTick bounds the events that are handled before it is judged what is overdue.
+const beforeTick = 16
+
 func newLoop() *loop {
 	l := &loop{start: time.Now(), events: make(chan any, ringLen), free: make(chan *buffer, ringLen+8)}
 	return l
@@ -106,10 +109,15 @@
 	next := h.tick(l.now())
 	t := time.NewTimer(next - l.now())
 	defer t.Stop()
+	untold := 0
 	for {
 		select {
 		case e := <-l.events:
 			l.handle(e, h)
+			if untold++; untold < beforeTick && len(l.events) > 0 {
+				continue // what waits may be the answer that is overdue
+			}
+			untold = 0
 		case <-t.C:
 			next = h.tick(l.now())
 			t.Reset(next - l.now())
