Name when a lookup is looked at again, and say what its fields hold

Cause: read as a newcomer: one pair of lines stood four times, and fields had no words. Measured: tests of the package pass.

--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -47,20 +47,20 @@
 	ended   bool   // the caller has reset the flow
 	packets [][]byte
 	since   time.Duration
-	due     time.Duration
-	pause   time.Duration
+	due     time.Duration // when it is looked at again
+	pause   time.Duration // before the next round
 	round   int
 	homes   homes
-	asking  bool // the homes have been asked in this round
-	told    [homesEach]bool
-	sure    [homesEach]bool
-	holders []IP
-	unsure  []IP
+	asking  bool            // the homes have been asked in this round
+	told    [homesEach]bool // which homes have answered
+	sure    [homesEach]bool // and would know the flow if any agent but the unsure held it
+	holders []IP            // named by homes
+	unsure  []IP            // agents that homes can't speak for
 	asked   []IP
 	denied  []IP
-	left    int // agents that may be asked in this round
-	resting bool
-	agent   IP // is being asked; 0: none
+	left    int  // agents that may be asked in this round
+	resting bool // the round is over
+	agent   IP   // is being asked; 0: none
 	flags   Flags
 }
 
@@ -72,6 +72,12 @@
 	next   time.Duration
 }
 
+// wake has the lookup looked at again at the time.
+func (x *lookups) wake(l *lookup, at time.Duration) {
+	l.due = at
+	x.next = min(x.next, at)
+}
+
 // LookupRate returns the messages a second that a VM of so many cores and so much
 // bandwidth, in Mbit/s, can spend on lookups: a quarter of either. It is 0 if neither
 // is known.
@@ -141,8 +147,7 @@
 	})
 	l.homes = b.homes.of(l.flow)
 	l.told, l.sure, l.unsure = [homesEach]bool{}, [homesEach]bool{}, nil
-	l.due = now + homeWithin
-	b.lookups.next = min(b.lookups.next, l.due)
+	b.lookups.wake(l, now+homeWithin)
 	for i, ip := range l.homes {
 		switch {
 		case ip == 0:
@@ -225,9 +230,8 @@
 		l.asked = slices.Clone(l.denied)
 	}
 	l.resting = true
-	l.due = now + l.pause
+	b.lookups.wake(l, now+l.pause)
 	l.pause = min(2*l.pause, roundMost)
-	b.lookups.next = min(b.lookups.next, l.due)
 }
 
 // nextHolder returns an agent that a home named and that was not asked.
@@ -269,15 +273,13 @@
 // askAgent gives the flow's first packet to an agent.
 func (b *Balancer) askAgent(l *lookup, ip IP, now time.Duration) {
 	if !b.spend(now) {
-		l.due = now + lookupShort
-		b.lookups.next = min(b.lookups.next, l.due)
+		b.lookups.wake(l, now+lookupShort)
 		return
 	}
 	l.left = max(0, l.left-1)
 	l.asked = append(l.asked, ip)
 	l.agent = ip
-	l.due = now + agentWithin
-	b.lookups.next = min(b.lookups.next, l.due)
+	b.lookups.wake(l, now+agentWithin)
 	h := Message{Kind: KindPacket, Flags: l.flags | FlagLookup}
 	if a := b.agents.byIP[ip]; a != nil {
 		h.Service = a.status.Service
