--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -12,7 +12,7 @@
 // hash and first those that were started after their upstreams, whose flows no home may
 // know. If all homes know all flows and every agent that they are unsure of denied it,
 // the flow is gone and its caller is told. The cost does not depend on the size of the
-// fleet. Given up: proofs while an agent may live that is not heard; callers wait then.
+// fleet. While an agent may live that is not heard, nothing is proved and callers wait.
 
 const (
 	// lookupsMost bounds the lookups under way, and packetsMost the packets kept of each.
--- a/node/loop.go
+++ b/node/loop.go
@@ -109,15 +109,15 @@
 	next := h.tick(l.now())
 	t := time.NewTimer(next - l.now())
 	defer t.Stop()
-	untold := 0
+	sinceTick := 0
 	for {
 		select {
 		case e := <-l.events:
 			l.handle(e, h)
-			if untold++; untold < beforeTick && len(l.events) > 0 {
+			if sinceTick++; sinceTick < beforeTick && len(l.events) > 0 {
 				continue // what waits may be the answer that is overdue
 			}
-			untold = 0
+			sinceTick = 0
 		case <-t.C:
 			next = h.tick(l.now())
 			t.Reset(next - l.now())
