--- a/datagram/bench_test.go
+++ b/datagram/bench_test.go
@@ -16,7 +16,7 @@
 func (q *quiet) ToCaller(IP, []byte)  { q.n++ }
 func (q *quiet) ToUpstream([]byte)    { q.n++ }
 
-// heardAt is when the benchmarks' packets come, while all agents are heard.
+// heardAt is when packets of benchmarks come, while all agents are heard.
 const heardAt = 1500 * time.Millisecond
 
 func benchBalancer(tb testing.TB, ks link.Keys) (*Balancer, []byte) {
--- a/experiment/moved_test.go
+++ b/experiment/moved_test.go
@@ -112,7 +112,7 @@
 func TestLookupCostsTheSameInAnyFleet(t *testing.T) {
 	sizes := []int{10, 50, 250}
 	if !testing.Short() {
-		sizes = append(sizes, 1000)
+		sizes = append(sizes, 1000, 2400)
 	}
 	for _, agents := range sizes {
 		t.Run(fmt.Sprintf("%d upstreams", agents), func(t *testing.T) {
