Name what the agent and the balancer each asked twice

Change: isPresent, heardWithin and table.all in their place; a test's message is made by the function that makes it elsewhere. No decision changes.

Measured: go test ./datagram ./experiment passes before and after.

--- a/datagram/absence.go
+++ b/datagram/absence.go
@@ -93,17 +93,15 @@
 // endFlows tells the callers of flows that were opened before then that they are gone:
 // their upstream has ended, or started anew.
 func (a *Agent) endFlows(before, now time.Duration) {
-	for _, fs := range []map[Flow]*flowState{a.flows.young, a.flows.old} {
-		for k, f := range fs {
-			if f.since > before {
-				f.born = a.upstream.born // the upstream will say if it does not hold it
-				continue
-			}
-			if f.phase == flowOpen && !f.finished && f.number != 0 {
-				a.cut(k, f, f.number, now)
-			}
-			delete(fs, k)
+	for k, f := range a.flows.all() {
+		if f.since > before {
+			f.born = a.upstream.born // the upstream will say if it does not hold it
+			continue
 		}
+		if f.phase == flowOpen && !f.finished && f.number != 0 {
+			a.cut(k, f, f.number, now)
+		}
+		a.flows.remove(k)
 	}
 	a.recount(now)
 }
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -81,7 +81,7 @@
 	case !known:
 		f = &flowState{phase: flowAsked, born: a.upstream.born, since: now}
 		a.flows.set(k.Flow, f)
-	case f.born != 0 && f.born != a.upstream.born, a.upstream.state == UpstreamAbsent:
+	case !a.isPresent(f.born), a.upstream.state == UpstreamAbsent:
 		a.lost(k, f, now)
 		return
 	case f.phase == flowOffered, f.phase == flowAccepted && k.Number != f.accepted+1:
@@ -199,7 +199,7 @@
 func (a *Agent) recount(now time.Duration) {
 	a.open, a.underWay = 0, 0
 	for _, f := range a.flows.all() {
-		if f.phase != flowOpen || f.finished || f.born != 0 && f.born != a.upstream.born {
+		if f.phase != flowOpen || f.finished || !a.isPresent(f.born) {
 			continue
 		}
 		a.open++
@@ -319,7 +319,7 @@
 
 // forgotten takes a flow out of the counts.
 func (a *Agent) forgotten(s *flowState) {
-	if s.born != 0 && s.born != a.upstream.born {
+	if !a.isPresent(s.born) {
 		return // the counts were of another life
 	}
 	if s.phase == flowOpen {
--- a/datagram/lookup_test.go
+++ b/datagram/lookup_test.go
@@ -25,9 +25,7 @@
 
 // deny answers for an agent that it does not hold the flow.
 func deny(b *Balancer, ip IP, port uint16, f Flags, now time.Duration) {
-	p := make([]byte, flowLen)
-	testFlow(port).put(p)
-	b.denied(ip, Message{Flags: f}, p, now)
+	b.denied(ip, Message{Flags: f}, appendFlow(nil, testFlow(port)), now)
 }
 
 // Guards against the reset of a flow that lives, and against callers of lost flows that
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -40,19 +40,14 @@
 
 // updateHomes works out which balancers are homes.
 func (b *Balancer) updateHomes(now time.Duration) {
-	ips := []IP{b.Self}
-	after := homeSilentAfter(len(b.peers) + 1)
-	for ip, p := range b.peers {
-		if p.heard != 0 && now-p.heard < after {
-			ips = append(ips, ip)
-		}
-	}
-	b.homes = newHomeSet(ips)
+	b.homes = newHomeSet(b.heardWithin(homeSilentAfter(len(b.peers)+1), now))
 }
 
 // heard returns this balancer and those that it has heard lately.
-func (b *Balancer) heard(now time.Duration) []IP {
-	after := b.peerSilentAfter()
+func (b *Balancer) heard(now time.Duration) []IP { return b.heardWithin(b.peerSilentAfter(), now) }
+
+// heardWithin returns this balancer and those that it has heard within the time.
+func (b *Balancer) heardWithin(after, now time.Duration) []IP {
 	ips := []IP{b.Self}
 	for ip, p := range b.peers {
 		if p.heard != 0 && now-p.heard < after {
--- a/datagram/registrar.go
+++ b/datagram/registrar.go
@@ -41,9 +41,13 @@
 
 // held reports whether the flow is one that homes are told of.
 func (a *Agent) held(f *flowState) bool {
-	return f.phase >= flowAccepted && !f.finished && (f.born == 0 || f.born == a.upstream.born)
+	return f.phase >= flowAccepted && !f.finished && a.isPresent(f.born)
 }
 
+// isPresent reports whether a flow that was opened in that life of the upstream, zero if
+// it is not known, may be of its present one.
+func (a *Agent) isPresent(born int64) bool { return born == 0 || born == a.upstream.born }
+
 // register tells the flow's homes that it is here.
 func (a *Agent) register(k Flow, f *flowState, now time.Duration) {
 	f.registered = now
