Keep a caller in the zone whose guard is switched off

The trial has 13 callers under the race detector, and in that run none of them used the zone's upstreams after 1.79 s, so nothing was left that could have been served. Ruled out: a guard that works although it is switched off; flows in the zone go on.

Change: one caller holds a flow in the zone and asks on it until the end, as the trial of the drain guard has it. The check is as it was.

--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -11,6 +11,7 @@
 
 	"pomeloway.example/pomeloway/agent"
 	"pomeloway.example/pomeloway/bundle"
+	"pomeloway.example/pomeloway/clock"
 	"pomeloway.example/pomeloway/guard"
 	"pomeloway.example/pomeloway/standin"
 )
@@ -302,6 +303,9 @@
 					time.Sleep(4 * time.Second)
 				}
 				if name == guard.Zone {
+					f := flowInZone(ctx, t, s, outZone)
+					defer f.close()
+					go askOn(ctx, f)
 					x.zoneOut(ctx)
 					time.Sleep(time.Duration(zoneOutLimit+1) * time.Second)
 					x.measureOut()
@@ -316,6 +320,16 @@
 	}
 }
 
+// askOn asks again and again on one flow, so that its upstream always has a caller.
+func askOn(ctx context.Context, f *flow) {
+	for ctx.Err() == nil {
+		if _, err := f.do(ctx, http.MethodGet, "/screen?caller=x", nil, ""); err != nil {
+			return
+		}
+		clock.Sleep(ctx, thinkMost)
+	}
+}
+
 // workAfterDrain drains an upstream and asks it for more on a flow that it holds.
 func workAfterDrain(ctx context.Context, t *testing.T, s *Site, x *script) {
 	limit, stop := context.WithTimeout(ctx, 20*time.Second)
