Give back slots of reset requests, and hear of a cold upstream at the first byte

Cause, cold: an agent learned of slow answers when it gave their slots back, which is after their callers have read them; and a shed answer was dropped as a sign when its caller had gone away meanwhile. Both let work through to an upstream that had said that it is cold.

Change: connections linger over HTTP/1.1 alone. Over HTTP/2 the slot is held for 250 ms after the reset, since nothing proves its end. The time to the first byte is learned when it comes (Gate.Answered), and what was shed counts without its caller. The check that no slot is lost by a body over the limit looks after that moment; as strict, since a lost slot never comes back.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -34,6 +34,9 @@
 	shortBody = 64 << 10
 )
 
+// errShed is an upstream's answer that says that it did not run the request.
+var errShed = fmt.Errorf("%w: shed", upstream.ErrNotRun)
+
 // job is one request on its way to an upstream.
 type job struct {
 	r    *http.Request
@@ -168,13 +171,12 @@
 	}
 	if s := d.service.Load().Upstreams.ShedStatus; s != 0 && a.StatusCode == s {
 		a.Body.Close()
-		return d.failed(ctx, j, start, fmt.Errorf("%w: shed with status %d", upstream.ErrNotRun, s))
+		return d.failed(ctx, j, start, fmt.Errorf("%w with status %d", errShed, s))
 	}
-	took := time.Duration(0)
-	if j.r.ContentLength >= 0 && j.r.ContentLength <= shortBody {
-		took = time.Since(start)
+	if j.r.ContentLength >= 0 && j.r.ContentLength <= shortBody && d.gate.Answered(start, time.Since(start)) {
+		d.logCold()
 	}
-	return d.answered(ctx, j, a, upstream.Sign{Kind: upstream.SignGood, Began: start, Took: took}), nil
+	return d.answered(ctx, j, a, upstream.Sign{Kind: upstream.SignGood, Began: start}), nil
 }
 
 // newID returns an id that no other run of a request has. Two agents count the
@@ -190,12 +192,12 @@
 	sign := upstream.Sign{Kind: upstream.SignBad, Began: began}
 	var long *http.MaxBytesError
 	tooLarge := errors.As(err, &long)
-	if ctx.Err() != nil || tooLarge {
+	if (ctx.Err() != nil || tooLarge) && !errors.Is(err, errShed) {
 		sign.Kind = upstream.SignNone // the caller's doing
 	}
 	var u *upstream.UnfinishedError
 	if errors.As(err, &u) {
-		d.releaseAfter(u.Ended, sign)
+		d.releaseAfter(u.End, sign)
 	} else {
 		d.release(sign)
 	}
@@ -243,33 +245,34 @@
 		if ctx.Err() != nil {
 			sign.Kind = upstream.SignNone
 		}
-		d.releaseAfter(upstream.Ended(body), sign)
+		d.releaseAfter(upstream.EndOf(body), sign)
 	}}
 }
 
 // releaseAfter gives the slot of a request that was broken off back when its upstream
-// has stopped working on it, or at once if that can't be known.
-func (d *dispatcher) releaseAfter(ended <-chan struct{}, s upstream.Sign) {
-	if ended == nil {
+// has stopped working on it, at once if it has.
+func (d *dispatcher) releaseAfter(end upstream.End, s upstream.Sign) {
+	if end == nil {
 		d.release(s)
 		return
 	}
-	go func() {
-		<-ended
-		d.release(s)
-	}()
+	end(func() { d.release(s) })
 }
 
 func (d *dispatcher) release(s upstream.Sign) {
 	cold, warm := d.gate.Release(s)
 	if cold {
-		d.log.Add(events.UpstreamCold, slog.Int("slots", d.gate.Load().Slots))
+		d.logCold()
 	}
 	if warm {
 		d.log.Add(events.UpstreamWarm, slog.Int("slots", d.gate.Load().Slots))
 	}
 }
 
+func (d *dispatcher) logCold() {
+	d.log.Add(events.UpstreamCold, slog.Int("slots", d.gate.Load().Slots))
+}
+
 func (d *dispatcher) logRequest(id events.ID, j *job, target string) {
 	d.log.Add(id, slog.String("method", j.r.Method), slog.String("path", j.r.URL.Path),
 		slog.String("target", target), slog.Bool("passed", j.passed))
--- a/agent/front_test.go
+++ b/agent/front_test.go
@@ -119,6 +119,7 @@
 				if rec.Code != x.status || Outcome(rec.Header().Get(HeaderOutcome)) != x.outcome {
 					t.Errorf("status %d, outcome %q: %.200s", rec.Code, rec.Header().Get(HeaderOutcome), rec.Body)
 				}
+				time.Sleep(upstreamStops) // a request that was broken off holds its slot for a moment
 				if l := f.gate.Load(); l.Slots != 3 || l.Running != 0 {
 					t.Errorf("the upstream is held for cold, or a slot is lost: %+v", l)
 				}
--- a/upstream/allowance.go
+++ b/upstream/allowance.go
@@ -19,9 +19,6 @@
 	Kind SignKind
 	// Began is when the work was given to the upstream.
 	Began time.Time
-	// Took is the time to the first byte of the answer of a short request, or
-	// zero where it says nothing, as for a long upload.
-	Took time.Duration
 }
 
 // SignKind is how work ended.
@@ -76,23 +73,41 @@
 // Warm reports whether the whole limit is allowed.
 func (a *Allowance) Warm() bool { return a.allowed >= a.limits.Slots }
 
-func (a *Allowance) learn(s Sign) (cold, warm bool) {
-	// Work that was begun before the upstream turned cold ends well and fast
-	// after it. Counted as good answers of the cold upstream it would widen the
-	// allowance at once; it shows as work beyond what the upstream bears.
-	if !s.Began.IsZero() && s.Began.Before(a.fell) {
-		return false, false
+// learnTime learns from the time to an answer's first byte. It is heard before the
+// work ends: the answer may take long to reach its caller.
+func (a *Allowance) learnTime(began time.Time, took time.Duration) (cold bool) {
+	switch {
+	case a.isOld(began):
+		return false
+	case a.isSlow(took):
+		return a.fall()
 	}
+	a.remember(took)
+	return false
+}
+
+// isOld reports whether the work was begun before the upstream turned cold. Such work
+// ends well and fast after it; counted as good answers of the cold upstream it would
+// widen the allowance at once.
+func (a *Allowance) isOld(began time.Time) bool {
+	return !began.IsZero() && began.Before(a.fell)
+}
+
+// fall takes the allowance back to the start and reports whether it was wider.
+func (a *Allowance) fall() (cold bool) {
+	a.slow, a.fell = 0, time.Now()
+	cold = a.allowed > a.limits.ColdStart.Slots
+	a.allowed, a.good = min(a.limits.ColdStart.Slots, a.limits.Slots), 0
+	return cold
+}
+
+func (a *Allowance) learn(s Sign) (cold, warm bool) {
 	switch {
-	case s.Kind == SignNone:
+	case a.isOld(s.Began), s.Kind == SignNone:
 		return false, false
-	case s.Kind == SignBad || a.isSlow(s.Took):
-		a.slow, a.fell = 0, time.Now()
-		cold = a.allowed > a.limits.ColdStart.Slots
-		a.allowed, a.good = min(a.limits.ColdStart.Slots, a.limits.Slots), 0
-		return cold, false
+	case s.Kind == SignBad:
+		return a.fall(), false
 	}
-	a.remember(s.Took)
 	if a.Warm() {
 		return false, false
 	}
@@ -108,7 +123,7 @@
 // isSlow reports whether the answer ends a run of slow ones.
 func (a *Allowance) isSlow(d time.Duration) bool {
 	switch {
-	case d == 0 || a.usual == 0:
+	case a.usual == 0:
 	case d > max(a.usual*slowFactor, slowLeast):
 		a.slow++
 	default:
@@ -119,7 +134,6 @@
 
 func (a *Allowance) remember(d time.Duration) {
 	switch {
-	case d == 0:
 	case a.usual == 0:
 		a.usual = d
 	case d < a.usual:
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -81,8 +81,9 @@
 )
 
 // set makes the transport speak the protocol.
-func (p Protocol) set(t *http.Transport) {
+func (p Protocol) set(t *http.Transport, d *net.Dialer) {
 	if p != ProtocolH2C {
+		t.DialContext = lingering(d)
 		return
 	}
 	t.Protocols = &http.Protocols{}
@@ -91,18 +92,21 @@
 }
 
 // NewClient returns a client of the upstream at the address.
-func NewClient(a netip.AddrPort, p Protocol) *Client {
+func NewClient(a netip.AddrPort, p Protocol) *Client { return NewClientOver(a, NewTransport(p)) }
+
+// NewTransport returns a transport for upstreams that speak the protocol.
+func NewTransport(p Protocol) http.RoundTripper {
 	d := net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{
-		DialContext:            lingering(&d),
+		DialContext:            d.DialContext,
 		MaxIdleConnsPerHost:    idleMost,
 		IdleConnTimeout:        idleFor,
 		MaxResponseHeaderBytes: headerMost,
 		ExpectContinueTimeout:  expectTimeout,
 		DisableCompression:     true,
 	}
-	p.set(t)
-	return NewClientOver(a, t)
+	p.set(t, &d)
+	return t
 }
 
 // NewClientOver returns a client that reaches the upstream by the transport,
@@ -182,11 +186,11 @@
 		if conn == nil {
 			return nil, eris.Wrap(ErrNotRun, err.Error())
 		}
-		return nil, &UnfinishedError{err, endOf(conn.Conn)}
+		return nil, &UnfinishedError{err, endOn(conn.Conn)}
 	}
 	b := &body{ReadCloser: a.Body, cancel: cancel}
 	if conn != nil {
-		b.ended = endOf(conn.Conn)
+		b.conn = conn.Conn
 	}
 	a.Body = b
 	return &answer{Response: a, detach: detach}, nil
@@ -203,7 +207,7 @@
 type body struct {
 	io.ReadCloser
 	cancel context.CancelFunc
-	ended  <-chan struct{}
+	conn   net.Conn
 	whole  bool
 }
 
@@ -214,15 +218,14 @@
 	return n, err
 }
 
-// Ended returns the channel that is closed when the upstream has stopped working on a
-// request whose answer's body was closed before its end; nil if it has stopped, or if
-// that can't be known.
-func Ended(answer io.ReadCloser) <-chan struct{} {
+// EndOf returns the end of a request whose answer's body was closed; nil if its
+// upstream has stopped already.
+func EndOf(answer io.ReadCloser) End {
 	b, ok := answer.(*body)
 	if !ok || b.whole {
 		return nil
 	}
-	return b.ended
+	return endOn(b.conn)
 }
 
 // Close closes the body and cancels what is left of the exchange.
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -156,6 +156,15 @@
 	}
 }
 
+// Answered learns from the time to the first byte of an answer, and reports whether
+// the upstream was found cold by it. It is left out where the time says nothing, as for
+// a long upload. The slot is held on.
+func (g *Gate) Answered(began time.Time, took time.Duration) (cold bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.allowance.learnTime(began, took)
+}
+
 // Release gives a slot back and learns from how the work ended. It reports
 // whether the upstream was found cold, or became fully warm, by it.
 func (g *Gate) Release(s Sign) (cold, warm bool) {
--- a/upstream/linger.go
+++ b/upstream/linger.go
@@ -13,11 +13,15 @@
 // stopped: servers close a connection that their client has closed once its handler
 // returns. So a connection is closed in one direction first, and the slot of the
 // request is given back when the other direction ends. Over HTTP/2 requests share a
-// connection and nothing proves the end of one.
+// connection, each is reset by itself, and nothing proves its end: its slot is given
+// back after a while.
 
 // lingerMost keeps a slot from being lost to an upstream that never closes.
 const lingerMost = 5 * time.Second
 
+// resetSettle keeps the slot while a reset reaches the upstream and its handler stops.
+const resetSettle = 250 * time.Millisecond
+
 // lingerConn is a connection whose Close waits in the background for the other side.
 type lingerConn struct {
 	*net.TCPConn
@@ -59,20 +63,28 @@
 	}
 }
 
-// endOf returns the channel that is closed when the other side of the connection has
-// ended, or nil if that can't be known.
-func endOf(c net.Conn) <-chan struct{} {
-	if l, ok := c.(*lingerConn); ok {
-		return l.ended
+// End calls a function when the upstream has stopped working on a request that was
+// broken off, as far as that can be known.
+type End func(func())
+
+// endOn returns the end of what was broken off on the connection.
+func endOn(c net.Conn) End {
+	l, ok := c.(*lingerConn)
+	if !ok {
+		return func(f func()) { time.AfterFunc(resetSettle, f) }
+	}
+	return func(f func()) {
+		go func() {
+			<-l.ended
+			f()
+		}()
 	}
-	return nil
 }
 
 // UnfinishedError says that a request was broken off while its upstream may work on it.
 type UnfinishedError struct {
 	Err error
-	// Ended is closed when the upstream has stopped; nil if that can't be known.
-	Ended <-chan struct{}
+	End End
 }
 
 func (e *UnfinishedError) Error() string { return e.Err.Error() }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -27,11 +27,18 @@
 func warm(g *Gate) {
 	for range 64 {
 		if g.TryAcquire() == nil {
-			g.Release(Sign{Kind: SignGood, Took: 10 * time.Millisecond})
+			endWell(g, 10*time.Millisecond)
 		}
 	}
 }
 
+// endWell ends a piece of work well after the time.
+func endWell(g *Gate, took time.Duration) (cold bool) {
+	cold = g.Answered(time.Time{}, took)
+	g.Release(Sign{Kind: SignGood})
+	return cold
+}
+
 // One trainer's program sends a hundred orders at once; a pony club sends one a
 // moment later. Served in order of arrival, the club would wait for all hundred.
 func TestBusyFlowDelaysOthersByOneTurn(t *testing.T) {
@@ -126,28 +133,36 @@
 		if err := g.TryAcquire(); err != nil {
 			t.Fatal(err)
 		}
-		g.Release(Sign{Kind: SignGood, Took: 10 * time.Millisecond})
+		endWell(g, 10*time.Millisecond)
 	}
 	if fmt.Sprint(seen) != "[1 1 2 2 4 4 8 8]" {
 		t.Errorf("slots grew as %v", seen)
 	}
-	slow, usual := Sign{Kind: SignGood, Took: time.Second}, Sign{Kind: SignGood, Took: 10 * time.Millisecond}
+	slow := func() bool { return endWell(g, time.Second) }
+	usual := func() bool { return endWell(g, 10*time.Millisecond) }
+	bad := func() bool {
+		cold, _ := g.Release(Sign{Kind: SignBad})
+		return cold
+	}
+	left := func() bool {
+		cold, _ := g.Release(Sign{})
+		return cold
+	}
 	for name, x := range map[string]struct {
-		signs []Sign
+		signs []func() bool
 		cold  bool
 	}{
-		"refused or failed":     {[]Sign{{Kind: SignBad}}, true},
-		"slow three times":      {[]Sign{slow, slow, slow}, true},
-		"one slow page":         {[]Sign{slow, usual, slow, usual, slow}, false},
-		"callers who went away": {[]Sign{{}, {}, {}, {}}, false},
+		"refused or failed":     {[]func() bool{bad}, true},
+		"slow three times":      {[]func() bool{slow, slow, slow}, true},
+		"one slow page":         {[]func() bool{slow, usual, slow, usual, slow}, false},
+		"callers who went away": {[]func() bool{left, left, left, left}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			warm(g)
 			found := false
 			for _, s := range x.signs {
 				g.TryAcquire()
-				cold, _ := g.Release(s)
-				found = found || cold
+				found = s() || found
 			}
 			if found != x.cold || (g.Load().Slots == 1) != x.cold {
 				t.Errorf("found cold %t, slots %d", found, g.Load().Slots)
