Hold an agent to what it has heard of a cold upstream

The stand-in took each answer after the turn for slow, because its own work takes five times as long. On a busy machine the agent sees more: the turn makes 20 ms plus noise into 100 ms plus noise, and from 7 ms of noise on that is less than the four times its usual by which an agent knows a cold upstream. So the count was not exact: it held the agent to a time that only the stand-in knew. Ruled out: slots given back before the upstream let go (all pieces under way unbroken), an allowance ahead of the upstream's (it never fell).

Change: a witness on the agent's way to the upstream tells the stand-in which answers the agent got, when it had asked and how long it took. An agent is warned by a shed answer or by three in a row of over four times the mean of the sixteen before, which is what an agent promises to see; and a request counts if it left the agent over 0.1 s after that. The check in place of the old one is as strict about what an agent could know; it no longer counts what it could not, and it counts from when the request left and no longer from when it came. Each piece of work beyond the slots or the cold start leaves a note of what it ran beside, in the report's causes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -68,7 +68,7 @@
 	o.Link = s.Addr()
 	a := &Agent{opts: o, flows: newFlowTable(), kill: make(chan struct{})}
 	a.disp = &dispatcher{
-		gate: &upstream.Gate{}, client: upstream.NewClient(o.Upstream, o.Protocol),
+		gate: &upstream.Gate{}, client: upstream.NewClientOver(o.Upstream, o.transport()),
 		siblings: &siblings{service: o.Service, self: fleet.NewID(fleet.RoleAgent, o.Link)},
 		guards:   off, counts: &RequestCounts{},
 	}
--- a/agent/options.go
+++ b/agent/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net/http"
 	"net/netip"
 	"strings"
 	"time"
@@ -27,6 +28,17 @@
 
 	// TLS takes the place of the certificate files in trials.
 	TLS *tls.Config `kong:"-"`
+	// Wrap goes around the way to the upstream in trials.
+	Wrap func(http.RoundTripper) http.RoundTripper `kong:"-"`
+}
+
+// transport returns the way to the upstream.
+func (o *Options) transport() http.RoundTripper {
+	t := upstream.NewTransport(o.Protocol)
+	if o.Wrap != nil {
+		return o.Wrap(t)
+	}
+	return t
 }
 
 // Validate returns all that is wrong with the settings.
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -105,6 +105,9 @@
 		r.OverSlots += int(u.OverSlots.Load())
 		r.OverCold += int(u.OverWarned.Load())
 		r.OverColdUnwarned += int(u.OverCold.Load() - u.OverWarned.Load())
+		for _, text := range u.Over() {
+			r.Causes[text]++
+		}
 	}
 	if x.drained != nil {
 		if t := time.Unix(0, x.drained.LastWork.Load()); t.After(x.leftAt) {
--- a/demo/unit.go
+++ b/demo/unit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -34,6 +35,7 @@
 	u.opts = agent.Options{
 		Options: s.options(h, z), Service: bundle.ServiceID(i + 1), Health: s.health,
 		Upstream: l.Addr().(*net.TCPAddr).AddrPort(), Protocol: d.Protocol, TLS: s.serve, Drain: time.Hour,
+		Wrap: func(t http.RoundTripper) http.RoundTripper { return witness{t, u.Upstream} },
 	}
 	return u, s.startAgent(u)
 }
--- /dev/null
+++ b/standin/telling.go
@@ -0,0 +1,103 @@
+// This file judges whether an upstream's client could know that the upstream had turned
+// cold without warning: it must have got a shed answer, or several in a row that were
+// much slower than those before. Slowness is taken as the client sees it, since on a
+// busy machine much of it isn't the upstream's. Given up: turns of an upstream that was
+// cold already; only a shed answer tells of them.
+
+package standin
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// enoughSlow is how many slow answers in a row tell.
+	enoughSlow = 3
+	// tellingFactor over the mean of the answers before makes an answer slow.
+	tellingFactor = 4
+	// enoughUsual is how many answers make a mean to compare with.
+	enoughUsual = 16
+	// reaction is the client's time to act on an answer that it has got.
+	reaction = 100 * time.Millisecond
+)
+
+// HeaderSent carries the moment at which a client sent a request, in Unix nanoseconds.
+const HeaderSent = "Standin-Sent"
+
+// sentAt returns when the client sent the request, or now if it doesn't say.
+func sentAt(r *http.Request) time.Time {
+	n, err := strconv.ParseInt(r.Header.Get(HeaderSent), 10, 64)
+	if err != nil {
+		return time.Now()
+	}
+	return time.Unix(0, n)
+}
+
+// Heard is an answer that an upstream's client has got.
+type Heard struct {
+	// Sent is when the request left, Took the time to the answer's first byte.
+	Sent time.Time
+	Took time.Duration
+	// Short says that the request was short, so that the time says something.
+	Short bool
+	// Shed says that the upstream did not run the request.
+	Shed bool
+}
+
+// telling is what a client has heard of an upstream's turn to the cold.
+type telling struct {
+	// since is when the upstream turned cold or became warm.
+	since time.Time
+	// deaf says that slow answers tell nothing: those before were slow already.
+	deaf bool
+	told time.Time
+	slow int
+	// usual is the ring of the last answers of the warm upstream.
+	usual [enoughUsual]time.Duration
+	count int
+}
+
+// announce notes that the client knows from the start.
+func (t *telling) announce() { t.told = time.Now() }
+
+func (t *telling) turnCold(wasCold bool) {
+	t.since, t.deaf, t.told, t.slow = time.Now(), wasCold, time.Time{}, 0
+}
+
+func (t *telling) warm() { t.since = time.Now() }
+
+// heard learns from an answer of the upstream, which is cold or warm.
+func (t *telling) heard(h Heard, cold bool) {
+	switch {
+	case h.Sent.Before(t.since), !h.Short && !h.Shed:
+		return
+	case !cold:
+		t.usual[t.count%enoughUsual] = h.Took
+		t.count++
+		return
+	case h.Shed:
+		t.slow = enoughSlow
+	case !t.deaf && t.isSlow(h.Took):
+		t.slow++
+	default:
+		t.slow = 0
+	}
+	if t.slow >= enoughSlow && t.told.IsZero() {
+		t.told = time.Now()
+	}
+}
+
+func (t *telling) isSlow(d time.Duration) bool {
+	var sum time.Duration
+	for _, u := range t.usual {
+		sum += u
+	}
+	return t.count >= enoughUsual && d >= tellingFactor*sum/enoughUsual
+}
+
+// warned reports whether a request was sent by a client that knew.
+func (t *telling) warned(sent time.Time) bool {
+	return !t.told.IsZero() && sent.Sub(t.told) > reaction
+}
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -8,7 +9,9 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,18 +65,15 @@
 	Ledger                 *Ledger
 
 	mu      sync.Mutex
-	running int
 	bears   int
 	answers int
-	// signs counts the answers since it turned cold, told is when they were
-	// enough to know by. Slow answers tell nothing if those before the turn were
-	// slow already (wasCold); then only a shed one does.
-	signs   int
-	told    time.Time
-	wasCold bool
+	telling telling
 	// turns counts the times it turned cold; work begun before the last one
 	// tells nothing of it.
-	turns    int
+	turns int
+	// pieces is the work under way.
+	pieces   map[*piece]struct{}
+	over     []string
 	draining bool
 	waiting  *pair
 	cross    atomic.Bool
@@ -89,20 +89,15 @@
 	Feeds atomic.Int64
 }
 
-const (
-	coldFactor = 5
-	// Nobody can know of an unannounced turn before three answers slower than
-	// those before or one that sheds, and a moment to act on them.
-	enoughSigns = 3
-	reaction    = 100 * time.Millisecond
-)
+// coldFactor is how much longer work takes a cold upstream.
+const coldFactor = 5
 
 // TurnCold makes the upstream cold; without warning if it was serving.
 func (u *Upstream) TurnCold() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.wasCold = u.bears < u.Slots
-	u.bears, u.answers, u.signs, u.told = max(u.ColdSlots, 1), 0, 0, time.Time{}
+	u.telling.turnCold(u.bears < u.Slots)
+	u.bears, u.answers = max(u.ColdSlots, 1), 0
 	u.turns++
 }
 
@@ -123,53 +118,93 @@
 	return u.bears < u.Slots
 }
 
+// piece is one piece of work that was begun.
+type piece struct {
+	ctx   context.Context
+	began time.Time
+	path  string
+	// turn is the turn to the cold in which it was begun.
+	turn int
+}
+
 // begin admits one piece of work, or sheds it.
-func (u *Upstream) begin() (took time.Duration, turn int, ok bool) {
+func (u *Upstream) begin(r *http.Request) (p *piece, took time.Duration, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.bears == 0 {
-		u.bears, u.told = max(u.ColdSlots, 1), time.Now() // it was announced by its start
+		u.bears = max(u.ColdSlots, 1)
+		u.telling.announce()
+	}
+	p = &piece{ctx: r.Context(), began: time.Now(), path: r.URL.Path, turn: u.turns}
+	u.LastWork.Store(p.began.UnixNano())
+	if u.pieces == nil {
+		u.pieces = map[*piece]struct{}{}
 	}
-	u.LastWork.Store(time.Now().UnixNano())
-	u.running++
-	cold := u.bears < u.Slots
+	u.pieces[p] = struct{}{}
+	running, cold := len(u.pieces), u.bears < u.Slots
 	switch {
-	case u.running > u.Slots:
+	case running > u.Slots:
 		u.OverSlots.Add(1)
-		return 0, u.turns, false
-	case u.running > u.bears:
+		u.noteOver("slots")
+		return p, 0, false
+	case running > u.bears:
 		u.OverCold.Add(1)
-		if !u.told.IsZero() && time.Since(u.told) > reaction {
+		if u.telling.warned(sentAt(r)) {
 			u.OverWarned.Add(1)
+			u.noteOver("cold")
 		}
-		u.sign(enoughSigns)
-		return 0, u.turns, false
+		return p, 0, false
 	case cold:
-		return u.Work * coldFactor, u.turns, true
+		return p, u.Work * coldFactor, true
 	}
-	return u.Work, u.turns, true
+	return p, u.Work, true
 }
 
-// sign notes that answers tell of the cold start; u.mu is held.
-func (u *Upstream) sign(n int) {
-	u.signs += n
-	if u.signs >= enoughSigns && u.told.IsZero() {
-		u.told = time.Now()
+// maxOver bounds the notes on work beyond what is borne.
+const maxOver = 3
+
+// noteOver keeps what was under way when there was too much; u.mu is held.
+func (u *Upstream) noteOver(beyond string) {
+	if len(u.over) >= maxOver {
+		return
 	}
+	var under []string
+	for p := range u.pieces {
+		under = append(under, fmt.Sprintf("%s %v broken %t turn %d", p.path, time.Since(p.began).Round(time.Millisecond), p.ctx.Err() != nil, p.turn))
+	}
+	slices.Sort(under)
+	u.over = append(u.over, fmt.Sprintf("beyond %s: upstream %s bears %d, turn %d, %d answers, told %v ago, under way: %s",
+		beyond, u.Name, u.bears, u.turns, u.answers, time.Since(u.telling.told).Round(time.Millisecond), strings.Join(under, "; ")))
+}
+
+// Over returns notes on the work beyond what it bears.
+func (u *Upstream) Over() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.over)
+}
+
+// Heard notes an answer that the upstream's client has got. Nobody is held to know of
+// an unannounced turn without it.
+func (u *Upstream) Heard(h Heard) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.telling.heard(h, u.bears < u.Slots)
 }
 
-func (u *Upstream) end(turn int, good bool) {
+func (u *Upstream) end(p *piece, good bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.running--
-	if !good || u.bears >= u.Slots || turn != u.turns {
+	delete(u.pieces, p)
+	if !good || u.bears >= u.Slots || p.turn != u.turns {
 		return
 	}
-	if !u.wasCold {
-		u.sign(1)
+	if u.answers++; u.answers < u.ColdAnswers {
+		return
 	}
-	if u.answers++; u.answers >= u.ColdAnswers {
-		u.answers, u.bears = 0, min(u.bears*2, u.Slots)
+	u.answers, u.bears = 0, min(u.bears*2, u.Slots)
+	if u.bears == u.Slots {
+		u.telling.warm()
 	}
 }
 
@@ -225,21 +260,21 @@
 	w.Header().Set("Upstream-Zone", u.Zone)
 }
 
-func (u *Upstream) work(w http.ResponseWriter, r *http.Request) (turn int, ok bool) {
+func (u *Upstream) work(w http.ResponseWriter, r *http.Request) (p *piece, ok bool) {
 	u.header(w, r)
-	d, turn, ok := u.begin()
+	p, d, ok := u.begin(r)
 	if !ok {
-		u.end(turn, false)
+		u.end(p, false)
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
-		return turn, false
+		return p, false
 	}
 	select {
 	case <-time.After(d):
-		return turn, true
+		return p, true
 	case <-r.Context().Done():
-		u.end(turn, false)
-		return turn, false
+		u.end(p, false)
+		return p, false
 	}
 }
 
@@ -255,11 +290,11 @@
 
 // feed sends a line every interval, lines in all.
 func (u *Upstream) feed(w http.ResponseWriter, r *http.Request) {
-	turn, ok := u.work(w, r)
+	p, ok := u.work(w, r)
 	if !ok {
 		return
 	}
-	u.end(turn, true)
+	u.end(p, true)
 	u.Feeds.Add(1)
 	defer u.Feeds.Add(-1)
 	q := r.URL.Query()
@@ -298,11 +333,11 @@
 }
 
 func (u *Upstream) screen(w http.ResponseWriter, r *http.Request) {
-	turn, ok := u.work(w, r)
+	p, ok := u.work(w, r)
 	if !ok {
 		return
 	}
-	defer u.end(turn, true)
+	defer u.end(p, true)
 	c := crossing{id: r.Header.Get("Pomeloway-Request"), caller: r.URL.Query().Get("caller")}
 	if u.cross.Load() {
 		c = u.swap(c)
@@ -355,22 +390,22 @@
 	if err != nil {
 		return
 	}
-	turn, ok := u.work(w, r)
+	p, ok := u.work(w, r)
 	if !ok {
 		return
 	}
-	defer u.end(turn, true)
+	defer u.end(p, true)
 	u.reply(w, Reply{Caller: r.URL.Query().Get("caller"), Order: string(b), Run: u.Ledger.Run(string(b))})
 }
 
 func (u *Upstream) upload(w http.ResponseWriter, r *http.Request) {
-	turn, ok := u.work(w, r)
+	p, ok := u.work(w, r)
 	if !ok {
 		return
 	}
 	h := sha256.New()
 	_, err := io.Copy(h, r.Body)
-	u.end(turn, err == nil)
+	u.end(p, err == nil)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -379,7 +414,7 @@
 
 // echo sends the request's body back as it comes.
 func (u *Upstream) echo(w http.ResponseWriter, r *http.Request) {
-	turn, ok := u.work(w, r)
+	p, ok := u.work(w, r)
 	if !ok {
 		return
 	}
@@ -387,7 +422,7 @@
 	c.EnableFullDuplex()
 	c.Flush()
 	_, err := io.Copy(w, r.Body)
-	u.end(turn, err == nil)
+	u.end(p, err == nil)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
