Let all datagrams of an opening follow the first, whatever they name

An opening is two datagrams, sprayed over balancers whose views differ for a moment, so they may name different candidates. An agent kept that it had passed the opening on or given it back, but not to whom, and sent a later datagram to the next or the first candidate of that datagram's own list. With other lists an agent reads beyond the candidates and ends by a panic (found by reading, shown by a test). Ruled out: a loss of the path, an agent that fell silent; all datagrams arrived.

Change: an agent keeps the address too, and sends later datagrams there.

The tests fail on the code before: "the opening goes round" and the panic.

--- a/agent/conn.go
+++ b/agent/conn.go
@@ -147,17 +147,17 @@
 	}
 	k, now := opening{fleet.HashOf(cid), m.Caller}, time.Now()
 	was := c.taken.get(k, now)
-	if was == placeNext && returned(m) {
-		was = placeUnknown // the sibling has compared, and it is busier
+	if was.place == placeNext && returned(m) || was.to.IsValid() && spent(m) {
+		was = where{} // the sibling has compared, and it is busier; or nobody takes it
 	}
-	switch was {
+	switch was.place {
 	case placeHere:
 		return true
 	case placeNext:
-		c.pass(m, whole)
+		c.pass(m, whole, was.to)
 		return false
 	case placeBack:
-		c.giveBack(m, whole)
+		c.giveBack(m, whole, was.to)
 		return false
 	case placeRefused:
 		c.refused.add(m.Caller, now)
@@ -179,31 +179,31 @@
 		if m.Position > 0 {
 			d.Reason = events.ReasonNext
 		}
-		c.taken.put(k, placeHere, now)
+		c.taken.put(k, where{place: placeHere}, now)
 		c.refused.clear(m.Caller, now)
 		c.log.Decide(d)
 		return true
 	case m.Load > 0 && m.Position == 1:
 		d.ID, d.Target = events.FlowPassed, m.Candidates[0]
-		c.taken.put(k, placeBack, now)
+		c.taken.put(k, where{placeBack, d.Target}, now)
 		c.log.Decide(d)
-		c.giveBack(m, whole)
+		c.giveBack(m, whole, d.Target)
 		return false
 	case !last(m):
 		d.ID, d.Target = events.FlowPassed, m.Candidates[next(m)]
-		c.taken.put(k, placeNext, now)
+		c.taken.put(k, where{placeNext, d.Target}, now)
 		c.log.Decide(d)
 		m.Load = 0
 		if why == events.ReasonBusier {
 			m.Load = c.load()
 		}
-		c.pass(m, whole)
+		c.pass(m, whole, d.Target)
 		return false
 	}
 	// Nobody has room: the caller hears so at once, and truthfully, since
 	// nothing of it was run.
 	d.ID = events.FlowRefused
-	c.taken.put(k, placeRefused, now)
+	c.taken.put(k, where{place: placeRefused}, now)
 	c.refused.add(m.Caller, now)
 	c.log.Decide(d)
 	return true
@@ -221,8 +221,16 @@
 	return m.Position + 1
 }
 
-// last reports whether there is no candidate after this one.
-func last(m *link.Message) bool { return next(m) >= m.Count }
+// last reports whether nobody is asked after this candidate.
+func last(m *link.Message) bool { return next(m) >= m.Count || spent(m) }
+
+// mostHops keeps an opening from going round. Balancers with unlike views name unlike
+// candidates for its datagrams, and what one agent keeps of the first list may lead a
+// datagram of the second back to where it was.
+const mostHops = link.MaxCandidates + 2
+
+// spent reports whether the opening must be taken or refused where it is.
+func spent(m *link.Message) bool { return m.Number >= mostHops }
 
 // compare lets the less busy of the first two candidates take the opening (the
 // power of two choices; Mitzenmacher, 2001). The first sends its count of flows
@@ -231,6 +239,7 @@
 // between agents for an opening, two for about half of them.
 func (c *conn) compare(m *link.Message) events.Reason {
 	switch {
+	case spent(m):
 	case m.Position == 0 && m.Count > 1 && c.load() > 0:
 		return events.ReasonBusier
 	case m.Position == 1 && m.Load > 0 && c.load() > m.Load:
@@ -241,20 +250,21 @@
 
 func (c *conn) load() uint16 { return uint16(min(c.flows(), 1<<16-1)) }
 
-// pass sends the datagram on to the next candidate.
-func (c *conn) pass(m *link.Message, whole []byte) {
+// pass sends the datagram on to the next candidate, as its opening's first one was.
+func (c *conn) pass(m *link.Message, whole []byte, to netip.AddrPort) {
 	c.Passed.Add(1)
-	m.Position = next(m)
-	c.send(m, whole, m.Candidates[m.Position])
+	m.Position = min(next(m), m.Count)
+	c.send(m, whole, to)
 }
 
-// giveBack returns the datagram to the first candidate, which must take it.
-func (c *conn) giveBack(m *link.Message, whole []byte) {
+// giveBack returns the datagram to the agent that had passed its opening on.
+func (c *conn) giveBack(m *link.Message, whole []byte, to netip.AddrPort) {
 	m.Position = m.Count
-	c.send(m, whole, m.Candidates[0])
+	c.send(m, whole, to)
 }
 
 func (c *conn) send(m *link.Message, whole []byte, to netip.AddrPort) {
+	m.Number++
 	(*c.keys.Load())[0].Put(whole, m)
 	c.socket.WriteToUDPAddrPort(whole, to)
 }
@@ -311,13 +321,13 @@
 }
 
 func (r *refusals) add(a netip.AddrPort, now time.Time) {
-	r.o.put(opening{caller: a}, placeRefused, now)
+	r.o.put(opening{caller: a}, where{place: placeRefused}, now)
 }
 
 func (r *refusals) has(a netip.AddrPort, now time.Time) bool {
-	return r.o.get(opening{caller: a}, now) == placeRefused
+	return r.o.get(opening{caller: a}, now).place == placeRefused
 }
 
 func (r *refusals) clear(a netip.AddrPort, now time.Time) {
-	r.o.put(opening{caller: a}, placeUnknown, now)
+	r.o.put(opening{caller: a}, where{}, now)
 }
--- a/agent/conn_test.go
+++ b/agent/conn_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fleet"
 	"pomeloway.example/pomeloway/keyring"
 	"pomeloway.example/pomeloway/link"
 )
@@ -149,6 +150,103 @@
 	return b[:n]
 }
 
+// fleetOf is agents that pass openings to each other.
+type fleetOf []*conn
+
+func (f fleetOf) list(at ...int) link.Message {
+	m := link.Message{Count: uint8(len(at))}
+	for i, a := range at {
+		m.Candidates[i] = f[a].socket.Addr()
+	}
+	return m
+}
+
+// deliver gives the datagram to an agent and follows it; it returns where it ended.
+func (f fleetOf) deliver(t *testing.T, p []byte, at int) int {
+	t.Helper()
+	for range 3 * mostHops {
+		if p, _ := f[at].handle(p, balancer); p != nil {
+			return at
+		}
+		p, at = f.receive(t)
+	}
+	t.Fatal("the opening goes round")
+	return 0
+}
+
+// receive returns the next datagram that an agent passed on, and to which.
+func (f fleetOf) receive(t *testing.T) ([]byte, int) {
+	t.Helper()
+	for {
+		for i, c := range f {
+			b := make([]byte, 2048)
+			c.socket.SetReadDeadline(time.Now().Add(time.Millisecond))
+			if n, err := c.socket.Read(b); err == nil {
+				return b[:n], i
+			}
+		}
+	}
+}
+
+// Guards against an opening that goes round among agents until its caller gives up,
+// since two balancers named unlike candidates for its datagrams and one of the agents
+// began to leave in between.
+func TestOpeningWithUnlikeCandidatesEndsAtOneAgent(t *testing.T) {
+	why := make([]events.Reason, 4)
+	var f fleetOf
+	for i, flows := range []int{1, 3, 9, 2} {
+		c := testConn(t, func() events.Reason { return why[i] })
+		c.flows = func() int { return flows }
+		f = append(f, c)
+	}
+	why[0] = events.ReasonLeaving
+	f[1].handle(arrive(f.list(1, 2, 3), opens(5)), balancer)
+	p, at := f.receive(t)
+	f[at].handle(p, balancer) // busier, it gives the opening back
+	back, at := f.receive(t)
+	ends := map[int]bool{f.deliver(t, arrive(f.list(0, 1, 2), opens(5)), 0): true}
+	ends[f.deliver(t, back, at)] = true
+	ends[f.deliver(t, arrive(f.list(0, 1, 2), opens(5)), 0)] = true
+	ends[f.deliver(t, arrive(f.list(3, 2, 1), opens(5)), 2)] = true
+	if len(ends) != 1 || !ends[1] {
+		t.Errorf("the opening's datagrams ended at %v", ends)
+	}
+}
+
+// Guards against an opening that goes round among agents that all leave.
+func TestOpeningAmongLeavingAgentsIsRefused(t *testing.T) {
+	var f fleetOf
+	leaving := events.Reason("")
+	for range 3 {
+		c := testConn(t, func() events.Reason { return leaving })
+		c.flows = func() int { return 1 + len(f) }
+		f = append(f, c)
+	}
+	f[0].taken.put(opening{fleet.HashOf(binary.BigEndian.AppendUint64(nil, 5)), someone}, where{placeNext, f[1].socket.Addr()}, time.Now())
+	f[1].taken.put(opening{fleet.HashOf(binary.BigEndian.AppendUint64(nil, 5)), someone}, where{placeNext, f[0].socket.Addr()}, time.Now())
+	leaving = events.ReasonLeaving
+	at := f.deliver(t, arrive(f.list(2, 0, 1), opens(5)), 2)
+	if !f[at].refused.has(someone, time.Now()) {
+		t.Error("it was taken by an agent that leaves")
+	}
+}
+
+// Guards against a panic on the datagram of an opening that was passed on before, if it
+// names the agent as its last candidate.
+func TestKnownOpeningAtItsLastCandidateIsPassedOn(t *testing.T) {
+	f := fleetOf{testConn(t, func() events.Reason { return "" }), testConn(t, func() events.Reason { return "" })}
+	f[0].flows = func() int { return 5 }
+	f[0].handle(arrive(f.list(0, 1), opens(5)), balancer)
+	if _, at := f.receive(t); at != 1 {
+		t.Fatal("it was not passed on")
+	}
+	m := f.list(1, 1, 1, 0)
+	m.Position = 3
+	if at := f.deliver(t, arrive(m, opens(5)), 0); at != 1 {
+		t.Errorf("the second datagram ended at agent %d, the first at 1", at)
+	}
+}
+
 // Every agent is full. The caller must hear so at once and truthfully from the
 // last one, not run into its own time-out; and a caller that was refused once
 // must be able to open a flow when there is room again.
@@ -228,19 +326,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		var o openings
 		for i := range uint64(10 * openingsMost) {
-			o.put(opening{flow: i}, placeHere, time.Now())
+			o.put(opening{flow: i}, where{place: placeHere}, time.Now())
 		}
 		if n := len(o.young) + len(o.old); n > 2*openingsMost {
 			t.Errorf("%d openings are kept", n)
 		}
 		k := opening{flow: 1 << 60}
-		o.put(k, placeNext, time.Now())
+		o.put(k, where{place: placeNext}, time.Now())
 		time.Sleep(openingLife - time.Second)
-		if o.get(k, time.Now()) != placeNext {
+		if o.get(k, time.Now()).place != placeNext {
 			t.Error("forgotten while the caller still repeats it")
 		}
 		time.Sleep(3 * openingLife)
-		if o.get(k, time.Now()) != placeUnknown {
+		if o.get(k, time.Now()).place != placeUnknown {
 			t.Error("remembered for good")
 		}
 	})
--- a/link/link.go
+++ b/link/link.go
@@ -85,7 +85,8 @@
 	Load       uint16
 	Caller     netip.AddrPort
 	Candidates [MaxCandidates]netip.AddrPort
-	// Number is the sender's incarnation in a heartbeat.
+	// Number is the sender's incarnation in a heartbeat, and in an opening the agents
+	// that have passed it on.
 	Number uint64
 	// Sent is when the message was made, in Unix seconds.
 	Sent uint32
