Give openings a priority by name, and keep stories out of the comments

Cause: an opening's place before others was called how pressing it is, in a field called Hop, which in a refusal held the requests of the upstream; its limits stood in the gate and the rule for them in openings.go.

Change: type Priority with its limits in priority.go; Message.Priority and Message.Requests, which share a byte on the wire as before. No decision changes.

Measured: go test ./datagram ./node ./platform ./experiment passes before and after.

--- a/datagram/absence.go
+++ b/datagram/absence.go
@@ -5,19 +5,17 @@
 	"time"
 )
 
-// An upstream that crashes says nothing, and its agent lives on. Callers of its flows
-// waited for their deadlines, and those that were idle for the deadline of their next
-// request. So an agent with a suspicion asks the VM whether anything listens at the
-// upstream's address: a refused connection is a proof, as a process that stands still
-// or is overloaded refuses none. Then every caller is told at once that its flow is
-// gone. Cost: a connection at each suspicion. Given up: the upstream's health endpoint,
-// which takes a slot and misleads.
+// An upstream that crashes says nothing, and its agent lives on. So an agent with a
+// suspicion tries the upstream's address: a refused connection is a proof, as a process
+// that stands still or is overloaded refuses none. Then every caller is told at once that
+// its flow is gone. Cost: a connection at each suspicion. The upstream's health endpoint
+// is not used, as it takes a slot and misleads.
 
 const (
-	// overdueAfter is two heartbeats of 770 ms.
+	// overdueAfter is two of the upstream's heartbeats.
 	overdueAfter = 1540 * time.Millisecond
 	// muteAfter is how long an upstream sends nothing before a caller's repeated packet
-	// is a suspicion: callers repeat themselves after 200 ms.
+	// is a suspicion; it is less than the time after which callers repeat themselves.
 	muteAfter = 100 * time.Millisecond
 	// probeEvery spaces the probes while the suspicion lasts.
 	probeEvery = 250 * time.Millisecond
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -88,14 +88,13 @@
 const (
 	// pendingMost is more packets than an upstream can hold unread.
 	pendingMost = 4096
-	// flowsTurn is over the idle time-out of flows, 15 s.
+	// flowsTurn is over the idle time-out of flows.
 	flowsTurn = 30 * time.Second
-	// flowsMost is what an agent of 64 MB keeps; an upstream of today has 2,000.
+	// flowsMost bounds the memory of an agent.
 	flowsMost = 100_000
-	// flowLife is over the longest life of a flow, 60 s.
+	// flowLife is over the longest life of a flow.
 	flowLife = 65 * time.Second
-	// recountEvery bounds for how long a wrong count lasts; 2,000 flows take some
-	// 20 µs.
+	// recountEvery bounds for how long a wrong count lasts.
 	recountEvery = time.Second
 	// requestLife is over the longest deadline of a request that takes a slot;
 	// its caller has given up.
@@ -104,9 +103,9 @@
 	evacuationUsual = 5 * time.Second
 	// cutFrom and cutTill are the shares of that bound between which the flows of an
 	// availability zone that is out end, each at its own time; openings stop at once.
-	// A caller may still end what it has begun, and the others lose a request each:
-	// at one moment, 3.5 s, they were an eighth of the requests of two seconds. What
-	// is left of the bound is for the word to come here, which takes some 50 ms.
+	// A caller may still end what it has begun, and the others lose a request each, which
+	// is not to happen to all at one moment. What is left of the bound is for the word to
+	// come here.
 	cutFrom = 0.6
 	cutTill = 0.96
 )
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -37,8 +37,8 @@
 	homes      homeSet // among which it chooses homes, if it knows the digest in the status
 	work       int     // flows and requests there, by its latest word
 	asked      int     // openings that it has not answered yet
-	// declined is when it said that it is busy, by how pressing the opening was.
-	declined [pressingEnd]time.Duration
+	// declined is when it said that it is busy, by the opening's priority.
+	declined [priorityEnd]time.Duration
 	former   [4]Life
 }
 
@@ -75,44 +75,40 @@
 	return classReady
 }
 
-// load is the flows and requests at the agent's upstream, by its size. A request
-// counts as much as a flow: with a weight of four, which a request's share of a
-// slot would ask for, one upstream of seven got 1.31 of the mean of 300 feeds.
+// load is the flows and requests at the agent's upstream, by its size. A request counts
+// as much as a flow: with more, feeds gather where few requests are.
 func (a *agentView) load() float64 {
 	return float64(a.work+a.asked) / float64(max(a.status.Slots, 1))
 }
 
-// answered takes in the load that comes with an answer to an opening, as statuses
-// are up to 250 ms old when many callers open at once.
+// answered takes in the load that comes with an answer to an opening, which is newer than
+// the last status.
 func (a *agentView) answered(load uint16) {
 	a.work, a.asked = int(load), max(0, a.asked-1)
 }
 
-// busyFor is how long an agent that declined an opening is not asked again with the
-// same limit or a lower one. An upstream of five slots ends a request each 6 to 16 ms.
-//
-// When all callers returned, each opening that waited asked every agent each 40 ms:
-// 11,000 askings a second for 600 places, more than balancers with a twelfth of a core
-// can send, and those that could have been in time waited with the rest.
+// busyFor is how long an agent that declined an opening is not asked again with the same
+// limit or a lower one: about the time in which its upstream ends a request. It keeps
+// openings that wait from costing more messages than small balancers can send.
 const busyFor = 20 * time.Millisecond
 
 // carefulFor is how long after that it is asked by one opening at a time: those that
 // wait do so in step, and would all ask before the first is declined.
 const carefulFor = 200 * time.Millisecond
 
-// busy reports whether the agent would decline an opening with the hop, as far as is
+// busy reports whether the agent would decline an opening of the priority, as far as is
 // known.
-func (a *agentView) busy(hop uint8, now time.Duration) bool {
-	since := now - a.declined[hop]
-	return a.declined[hop] != 0 && (since < busyFor || since < carefulFor && a.asked > 0)
+func (a *agentView) busy(p Priority, now time.Duration) bool {
+	since := now - a.declined[p]
+	return a.declined[p] != 0 && (since < busyFor || since < carefulFor && a.asked > 0)
 }
 
-// decline notes that the agent declined an opening with the hop, with so many requests
+// decline notes that the agent declined an opening of the priority, with so many requests
 // there: it would decline all that are held to a limit that these reach.
-func (a *agentView) decline(hop uint8, requests int, now time.Duration) {
-	for h := range a.declined {
-		if uint8(h) == hop || limitOf(uint8(h))*float64(max(a.status.Slots, 1)) <= float64(requests) {
-			a.declined[h] = now
+func (a *agentView) decline(p Priority, requests int, now time.Duration) {
+	for q := range priorityEnd {
+		if q == p || q.limit()*float64(max(a.status.Slots, 1)) <= float64(requests) {
+			a.declined[q] = now
 		}
 	}
 }
@@ -135,15 +131,14 @@
 // nearEnough reports whether the agent, of the own availability zone, is taken
 // rather than o: it has a free slot, and is not much fuller.
 //
-// Bytes between zones are paid for, and each crossing takes 1 to 1.5 ms twice.
-// But zones' callers are not as many as their upstreams can serve, so flows stay
-// at home only as long as that costs no waiting.
+// Crossings between zones cost bytes and time. But zones' callers are not as many as
+// their upstreams can serve, so flows stay at home only as long as that costs no waiting.
 func (a *agentView) nearEnough(o *agentView) bool {
 	return int(a.status.UnderWay)+a.asked < int(max(a.status.Slots, 1)) && a.load() <= nearLoad*o.load()+1/float64(max(a.status.Slots, 1))
 }
 
-// nearLoad is how much fuller an upstream of the own zone may be; busiest over
-// mean is to stay under 1.2.
+// nearLoad is how much fuller an upstream of the own zone may be; it keeps the busiest
+// near the mean.
 const nearLoad = 1.1
 
 // reachable reports whether the agent is heard, and so would answer.
@@ -173,14 +168,13 @@
 // lastSign is when there was last a sign of the agent's life, or word of its end.
 func (a *agentView) lastSign() time.Duration { return max(a.heard, a.told) }
 
-// goneAfter is when a silent agent is held for gone with its flows: five times the
-// 0.5 s in which a killed process is started again. Callers' deadlines are 1 to 4 s,
-// and until then each of them waits for an answer that may never come.
+// goneAfter is when a silent agent is held for gone with its flows: several times the
+// time in which a killed process is started again. Until then its callers wait for an
+// answer that may never come.
 const goneAfter = 2500 * time.Millisecond
 
-// unheardAfter is the same for an agent that is recorded and was not heard since
-// this balancer started: three times the 0.6 s in which a process is started
-// again. A VM that died long ago may still have its record.
+// unheardAfter is the same for an agent that is recorded and was not heard since this
+// balancer started. A VM that died long ago may still have its record.
 const unheardAfter = 2 * time.Second
 
 // mayHold reports whether the agent may hold flows.
@@ -200,9 +194,9 @@
 
 // mayLive reports whether a silent agent may still hold flows.
 //
-// Those whose upstream had deregistered, or had not been heard for as long as one
-// that lives needs, hold none. Their VMs are taken away soon after, and callers of
-// quite other upstreams, lost with them in a loss of power, waited for 5 s.
+// Those whose upstream had deregistered, or had not been heard for as long as one that
+// lives needs, hold none. Their VMs are taken away soon after, and must not hold up the
+// callers of other upstreams.
 func (a *agentView) mayLive(now time.Duration) bool {
 	switch {
 	case a.holdsNone():
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -76,8 +76,7 @@
 	// placesTurn is over the longest pause of a flow, so that a place lives as
 	// long as its flow is used.
 	placesTurn = 30 * time.Second
-	// placesMost bounds the memory of a balancer to some 20 MB; a flow beyond it
-	// costs a lookup.
+	// placesMost bounds the memory of a balancer; a flow beyond it costs a lookup.
 	placesMost = 200_000
 )
 
--- a/datagram/cadence.go
+++ b/datagram/cadence.go
@@ -23,25 +23,21 @@
 	StatusEvery = 250 * time.Millisecond
 	// LargeEvery is the same on a large fleet.
 	LargeEvery = 2 * StatusEvery
-	// greetEvery is within what a newcomer is told again, a status later than
-	// LargeEvery. An agent that died just after its greeting was held for alive for
-	// the 4 s that those far away are given, and walks ended at it.
+	// greetEvery is within what a newcomer is told again, a status later than LargeEvery,
+	// so that an agent that dies just after its greeting is found as soon as others.
 	greetEvery = LargeEvery + 100*time.Millisecond
-	// nearAgents is how many agents tell one balancer each LargeEvery on a large
-	// fleet. With the three of nearLeast it is 18 at six agents a balancer, 4 kB/s
-	// on average, and up to twice that where rendezvous is uneven.
+	// nearAgents is how many agents tell one balancer each LargeEvery on a large fleet.
 	nearAgents = 8
-	// smallAgents and smallBalancers bound a site on which all are near: 16 agents
-	// and 10 balancers are 12 kB/s, still within a node's 13.
+	// smallAgents and smallBalancers bound a site on which all are near, so that a node's
+	// share of control traffic stays within its limit.
 	smallAgents    = 16
 	smallBalancers = 10
 	// nearLeast are told in any fleet, so that one death leaves two.
 	nearLeast = 3
-	// nearPeers is how many other balancers a balancer tells as often on a large
-	// fleet, 1 kB/s.
+	// nearPeers is how many other balancers a balancer tells as often on a large fleet.
 	nearPeers = 4
-	// farRate is how many messages a second one receiver gets from all that are
-	// far from it, 2.2 kB/s.
+	// farRate is how many messages a second one receiver gets from all that are far from
+	// it.
 	farRate = 20
 	// farLeast keeps those that are far on a middling site as fresh as is cheap.
 	farLeast = 2 * time.Second
--- a/datagram/cutoff.go
+++ b/datagram/cutoff.go
@@ -3,13 +3,11 @@
 import "time"
 
 // A balancer that is cut off from the fleet may still be reached by callers and by
-// routers. It went on saying that it was ready, and all that callers sent there was
-// lost: for 6 s a quarter of all requests, with three balancers of seven. So a balancer
-// that hears no agent of a service, and of the other balancers fewer than half, is not
-// ready, and refuses openings of that service at once: the caller's next try has
-// another port, and so mostly another balancer. If the agents of a service have died
-// the others are heard, and openings wait for one that returns. Given up: a balancer
-// that has no others can't tell, and stays.
+// routers, and all that callers send there is lost. So a balancer that hears no agent of
+// a service, and of the other balancers fewer than half, is not ready, and refuses
+// openings of that service at once: the caller's next try has another port, and so mostly
+// another balancer. If the agents of a service have died the others are heard, and
+// openings wait for one that returns. A balancer that has no others can't tell, and stays.
 
 // pauseLeast is twice the longest time between two ticks. A process that stood still
 // for longer has heard nobody for want of listening.
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -122,7 +122,7 @@
 		for _, payload := range [][]byte{nil, make([]byte, 5), make([]byte, flowLen), make([]byte, 60), status[HeaderLen:]} {
 			for _, from := range []IP{0, 1, 101, 102} {
 				m := append(make([]byte, HeaderLen), payload...)
-				h := Message{Kind: k, Hop: 255, Reason: 200, Opening: 7}
+				h := Message{Kind: k, Priority: 255, Requests: 255, Reason: 200, Opening: 7}
 				h.Put(m, b.Keys[0])
 				b.HandleMessage(from, append([]byte(nil), m...), now)
 				a.HandleMessage(from, m, now)
--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -14,7 +14,7 @@
 const (
 	// directoryTurn is over the time in which agents repeat their entries.
 	directoryTurn = refreshEvery + time.Minute
-	// directoryMost bounds the memory of a directory to some 30 MB.
+	// directoryMost bounds the memory of a directory.
 	directoryMost = 400_000
 	// resendEvery spaces the requests to one agent to tell all again.
 	resendEvery = 300 * time.Millisecond
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -153,15 +153,15 @@
 		a.upstream.state == UpstreamUnknown && !a.upstream.answers && now > announcedWithin
 }
 
-// announcedWithin is when an upstream that lives has been heard since its agent
-// started: two and a half of its heartbeats of 770 ms. Else there is none.
+// announcedWithin is when an upstream that lives has been heard since its agent started,
+// some of its heartbeats. Else there is none.
 const announcedWithin = 2 * time.Second
 
 // began notices a request that begins with a packet of the caller.
 //
-// A retransmission that comes after the answer is no request: counted as one it
-// would stay under way for good, and an upstream of uploads was held for busy
-// after some minutes. Only data beyond what was seen begins one.
+// A retransmission that comes after the answer is no request: counted as one it would
+// stay under way, and an upstream of uploads would be held for busy after some minutes.
+// Only data beyond what was seen begins one.
 func (a *Agent) began(k Packet, f *flowState, p []byte, now time.Duration) {
 	if k.Fin || k.Reset {
 		f.finished = true
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -38,14 +38,14 @@
 // mayTry reports whether an upstream may get openings that has not announced itself
 // since this agent started: it is there, and whether its zone is out is known.
 //
-// When all processes were killed, most agents came back a half second before their
-// upstreams' next heartbeats; all openings went to the two or three that were heard
-// first, and were late there. Balancers ask the others before. It is held for cold;
-// that it drains is known a heartbeat later, and until then it still serves.
+// After a kill of all processes most agents return long before their upstreams' next
+// heartbeats, and the few upstreams that are heard first can't serve all. Balancers ask
+// the others before. It is held for cold; that it drains is known a heartbeat later, and
+// until then it still serves.
 func (a *Agent) mayTry() bool { return a.upstream.listens && a.revision > 0 }
 
-// unknownSlots are taken for an upstream's that has not told its own: today's have
-// five or six.
+// unknownSlots are taken for an upstream's that has not told its own; more than it has
+// would make its requests wait.
 const unknownSlots = 4
 
 // size returns how many requests the upstream works on at once.
@@ -56,55 +56,6 @@
 	return max(u.slots, 1)
 }
 
-const (
-	// busyAt is the requests for each slot from which on an opening is better
-	// placed elsewhere: its request would wait about as long as one is worked on,
-	// 30 to 50 ms, which still leaves it inside its aim of 150 to 250 ms.
-	busyAt = 2
-	// fullAt is the requests for each slot above which an opening is not taken even
-	// if all are busy, fullAtUrgent the same for urgent routes, so that these wait
-	// for nobody but each other. Whoever waits does so at the balancer: behind 3.5
-	// and 4.5 requests for each slot, on a day with half again the work that the
-	// upstreams can do, confirmations earned 0.73 of their worth and upstreams shed
-	// 215 tries; with 2 and 3 it was 0.85 and none.
-	fullAt       = 2
-	fullAtUrgent = 3
-	// lateAt and lateAtUrgent are the same for openings that will be late anyway. They
-	// are served with what is left over by those that can still be in time: when
-	// everybody returns at once, a queue in the order of arrival makes all of them
-	// late, for as long as the queue lasts.
-	lateAt       = 1
-	lateAtUrgent = 1.5
-)
-
-// How pressing an opening is, in its hop.
-const (
-	// pressing: every agent was busy.
-	pressing uint8 = 1 + iota
-	// pressingUrgent: and its route goes before others of the service.
-	pressingUrgent
-	// pressingLate, pressingLateUrgent: it has waited too long to be in time.
-	pressingLate
-	pressingLateUrgent
-	pressingEnd
-)
-
-// limitOf returns the requests for each slot from which on an opening with the hop is
-// declined.
-func limitOf(hop uint8) float64 {
-	switch hop {
-	case 0:
-		return busyAt
-	case pressing:
-		return fullAt
-	case pressingLate:
-		return lateAt
-	case pressingLateUrgent:
-		return lateAtUrgent
-	}
-	return fullAtUrgent
-}
-
 // work is the requests that the upstream has, or will have in a moment.
 func (a *Agent) work(now time.Duration) int { return a.underWay + a.coming.count(now) }
 
@@ -114,15 +65,13 @@
 }
 
 // busy reports whether the opening should go elsewhere. One that was declined
-// everywhere comes again with a hop, and is taken while there is room.
+// everywhere comes again with another priority, and is taken while there is room.
 //
-// When all VMs return from a loss of power, all callers open at once, and those
-// upstreams that are heard first got three times their share: requests waited
-// behind 20 others while others idled. Only the agent knows it in time, as
-// statuses are up to 250 ms old.
+// Only the agent knows its load in time: when all callers open at once, the upstreams
+// that are heard first would get several times their share before the next status.
 func (a *Agent) busy(h Message, now time.Duration) bool {
-	limit := limitOf(h.Hop)
-	if h.Hop == 0 && a.BusyAt != 0 {
+	limit := h.Priority.limit()
+	if h.Priority == PriorityFirst && a.BusyAt != 0 {
 		limit = a.BusyAt
 	}
 	return limit > 0 && float64(a.work(now)) >= limit*float64(a.upstream.size())
@@ -192,7 +141,7 @@
 func (a *Agent) decline(to IP, h Message, f Flow, r Reason, now time.Duration) {
 	a.Count.Declined++
 	a.Log.decide(decision{event: events.OpeningDeclined, flow: f, agent: to, reason: r, version: a.version}, now)
-	a.hint(to, Message{Kind: KindRefused, Reason: r, Hop: uint8(min(a.work(now), math.MaxUint8)), Opening: h.Opening, Service: a.Service, Load: a.load(now)}, f)
+	a.hint(to, Message{Kind: KindRefused, Reason: r, Requests: uint8(min(a.work(now), math.MaxUint8)), Opening: h.Opening, Service: a.Service, Load: a.load(now)}, f)
 }
 
 // hint sends a balancer a message about a flow.
--- a/datagram/gate_test.go
+++ b/datagram/gate_test.go
@@ -61,9 +61,9 @@
 		}, Message{Service: 7}, ReasonNone},
 		"agent leaves":           {func(a *Agent) { a.Announce(&ready, now); a.Leave(now) }, Message{Service: 7}, ReasonDraining},
 		"busy":                   {func(a *Agent) { a.Announce(&ready, now); a.underWay = 10 }, Message{Service: 7}, ReasonBusy},
-		"busy, pressing":         {func(a *Agent) { a.Announce(&ready, now); a.underWay = 10 }, Message{Service: 7, Hop: pressing}, ReasonBusy},
-		"busy, pressing, urgent": {func(a *Agent) { a.Announce(&ready, now); a.underWay = 10 }, Message{Service: 7, Hop: pressingUrgent}, ReasonNone},
-		"full, pressing, urgent": {func(a *Agent) { a.Announce(&ready, now); a.underWay = 15 }, Message{Service: 7, Hop: pressingUrgent}, ReasonBusy},
+		"busy, repeated":         {func(a *Agent) { a.Announce(&ready, now); a.underWay = 10 }, Message{Service: 7, Priority: PriorityRepeated}, ReasonBusy},
+		"busy, repeated, urgent": {func(a *Agent) { a.Announce(&ready, now); a.underWay = 10 }, Message{Service: 7, Priority: PriorityUrgent}, ReasonNone},
+		"full, repeated, urgent": {func(a *Agent) { a.Announce(&ready, now); a.underWay = 15 }, Message{Service: 7, Priority: PriorityUrgent}, ReasonBusy},
 		"a slot's worth of room": {func(a *Agent) { a.Announce(&ready, now); a.underWay = 9 }, Message{Service: 7}, ReasonNone},
 		"cold, no limit":         {func(a *Agent) { a.Announce(&cold, now) }, Message{Service: 7}, ReasonNone},
 		"cold, used up": {func(a *Agent) {
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -48,9 +48,9 @@
 type Message struct {
 	Kind   Kind
 	Reason Reason
-	// Hop is how pressing an opening is, and in a refusal how many requests the
-	// upstream has.
-	Hop uint8
+	// Priority is that of an opening, Requests what the upstream has in a refusal.
+	Priority Priority
+	Requests uint8
 	// Flags say how a flow is looked for.
 	Flags Flags
 	// Opening names an attempt at an opening to the balancer that made it.
@@ -114,9 +114,10 @@
 // Put writes the header before the payload that starts at b[HeaderLen].
 func (m *Message) Put(b []byte, k link.Key) {
 	_ = b[HeaderLen-1]
-	b[0], b[1], b[2], b[3], b[4] = messageMagic, byte(m.Kind), byte(k.ID()), byte(m.Reason), m.Hop
+	b[0], b[1], b[2], b[3], b[4] = messageMagic, byte(m.Kind), byte(k.ID()), byte(m.Reason), m.Requests
 	b[5] = byte(m.Flags)
 	if m.Kind == KindOpening {
+		b[4] = byte(m.Priority)
 		binary.BigEndian.PutUint16(b[6:], uint16(m.Cold))
 	} else {
 		binary.BigEndian.PutUint16(b[6:], m.Load)
@@ -137,12 +138,12 @@
 	if !ok || k.Tag(b[:atTag], b[HeaderLen:HeaderLen+m.Kind.covered(len(b)-HeaderLen)]) != binary.BigEndian.Uint64(b[atTag:]) {
 		return nil, false
 	}
-	m.Reason, m.Hop, m.Flags = Reason(b[3]), b[4], Flags(b[5])
-	m.Cold, m.Load = 0, 0
+	m.Reason, m.Flags = Reason(b[3]), Flags(b[5])
+	m.Priority, m.Requests, m.Cold, m.Load = 0, 0, 0, 0
 	if m.Kind == KindOpening {
-		m.Cold = ColdRate(binary.BigEndian.Uint16(b[6:]))
+		m.Priority, m.Cold = Priority(b[4]), ColdRate(binary.BigEndian.Uint16(b[6:]))
 	} else {
-		m.Load = binary.BigEndian.Uint16(b[6:])
+		m.Requests, m.Load = b[4], binary.BigEndian.Uint16(b[6:])
 	}
 	m.Opening = binary.BigEndian.Uint32(b[8:])
 	m.Service = ServiceKey(binary.BigEndian.Uint64(b[12:]))
--- a/datagram/message_test.go
+++ b/datagram/message_test.go
@@ -22,7 +22,7 @@
 func TestMessagesOfStrangersAreRefused(t *testing.T) {
 	ks := testKeys(t)
 	for name, m := range map[string]Message{
-		"opening": {Kind: KindOpening, Hop: 1, Opening: 9, Service: 11, Cold: 25},
+		"opening": {Kind: KindOpening, Priority: 1, Opening: 9, Service: 11, Cold: 25},
 		"refusal": {Kind: KindRefused, Reason: ReasonCold, Opening: 9},
 		"status":  {Kind: KindAgent},
 	} {
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -14,22 +14,19 @@
 
 const (
 	// answerWithin is how long an agent has for an opening at least, and answerMost at
-	// most, on a balancer that is slow to read answers. The caller's own copy comes
-	// after 200 ms.
+	// most, on a balancer that is slow to read answers: less than the caller waits
+	// before it repeats itself.
 	answerWithin = 60 * time.Millisecond
 	answerMost   = 150 * time.Millisecond
-	// openingLife is how long a caller waits for its flow, 1.4 s, less the way
-	// of the answer.
+	// openingLife is how long a caller waits for its flow, less the way of the answer.
 	openingLife = 1300 * time.Millisecond
 	// triedMost bounds the agents that one opening goes to in one round.
 	triedMost = 16
-	// openingsMost bounds the openings under way: a second's worth of the
-	// 34,000 a second of the largest fleet on one balancer of 40. One beyond it
-	// takes the place of the oldest, which is then repeated by its caller alone.
+	// openingsMost bounds the openings under way. One beyond it takes the place of the
+	// oldest, which is then repeated by its caller alone.
 	openingsMost = 1024
-	// roomAfter is when an opening is tried again that found all agents full: some
-	// slots come free in that time, as a request takes 30 to 50 ms of one of five.
-	// The caller's copy would come after 200 ms, when its aim is past.
+	// roomAfter is when an opening is tried again that found all agents full: about a
+	// request's work, in which some slots come free.
 	roomAfter    = 40 * time.Millisecond
 	openingBytes = 128
 )
@@ -46,10 +43,10 @@
 	silent   bool // an agent that was asked did not answer, so it may still run
 	idlest   IP   // the least busy of the agents that were busy, with its requests
 	requests uint16
-	busy     bool  // some agent was busy, and will have room
-	hop      uint8 // how pressing it was when it was sent
-	forced   bool  // the idlest was told to take it
-	waits    bool  // all were busy; it is tried again at the deadline
+	busy     bool     // some agent was busy, and will have room
+	priority Priority // at which it was sent
+	forced   bool     // the idlest was told to take it
+	waits    bool     // all were busy; it is tried again at the deadline
 	urgent   bool
 	aim      time.Duration
 	packet   [HeaderLen + openingBytes]byte
@@ -201,8 +198,8 @@
 // room tries an opening again that found all agents full, at the idlest of them.
 func (b *Balancer) room(o *opening, now time.Duration) {
 	o.waits = false
-	hop := o.press(now)
-	a, c, busy := b.agents.choose(o.flow.hash(), o.service, nil, hop, now)
+	p := o.repeated(now)
+	a, c, busy := b.agents.choose(o.flow.hash(), o.service, nil, p, now)
 	switch {
 	case now-o.started > openingLife, a == nil && !busy:
 		o.deadline = 0
@@ -210,7 +207,7 @@
 		b.waitForRoom(o, now)
 	default:
 		o.forced = true
-		b.ask(o, a, c, hop, now)
+		b.ask(o, a, c, p, now)
 	}
 }
 
@@ -225,68 +222,48 @@
 	return 600 * time.Millisecond
 }
 
-// press says how pressing an opening is that every agent declined.
-func (o *opening) press(now time.Duration) uint8 {
-	switch {
-	case o.late(now) && o.urgent:
-		return pressingLateUrgent
-	case o.late(now):
-		return pressingLate
-	case o.urgent:
-		return pressingUrgent
-	}
-	return pressing
-}
-
-// late reports whether the opening has waited for so long that its request can't be
-// answered within its aim: an upstream with two requests a slot takes twice a
-// request's work, which is nearly half of the aims of today's routes.
-func (o *opening) late(now time.Duration) bool {
-	return o.aim > 0 && now-o.started > o.aim/2
-}
-
 // try sends the opening to the next agent.
 func (b *Balancer) try(o *opening, now time.Duration) {
 	var a *agentView
 	var c class
 	var busy bool
-	var hop uint8
+	p := PriorityFirst
 	if o.late(now) {
-		hop = o.press(now)
+		p = o.repeated(now)
 	}
 	if o.asked < triedMost && !o.forced {
-		a, c, busy = b.agents.choose(o.flow.hash(), o.service, o.tried[:o.asked], hop, now)
+		a, c, busy = b.agents.choose(o.flow.hash(), o.service, o.tried[:o.asked], p, now)
 	}
 	switch {
 	case a != nil:
 		o.tried[o.asked] = a.ip
 		o.asked++
-		b.ask(o, a, c, hop, now)
+		b.ask(o, a, c, p, now)
 	case busy && o.idlest == 0:
 		b.waitForRoom(o, now)
-	case o.pressable(b, now):
+	case o.insists(b, now):
 		o.forced = true
-		b.ask(o, b.agents.byIP[o.idlest], classReady, o.press(now), now)
+		b.ask(o, b.agents.byIP[o.idlest], classReady, o.repeated(now), now)
 	default:
 		b.exhausted(o, now)
 	}
 }
 
-// pressable reports whether the idlest agent may take the opening if it is pressed.
-func (o *opening) pressable(b *Balancer, now time.Duration) bool {
+// insists reports whether the idlest agent may take the opening at its next priority.
+func (o *opening) insists(b *Balancer, now time.Duration) bool {
 	a := b.agents.byIP[o.idlest]
-	return a != nil && !o.forced && !a.busy(o.press(now), now)
+	return a != nil && !o.forced && !a.busy(o.repeated(now), now)
 }
 
-// ask gives the opening to the agent; the hop says how pressing it is.
-func (b *Balancer) ask(o *opening, a *agentView, c class, hop uint8, now time.Duration) {
+// ask gives the opening to the agent.
+func (b *Balancer) ask(o *opening, a *agentView, c class, p Priority, now time.Duration) {
 	o.agent = a.ip
 	a.asked++
 	b.Log.decide(decision{
 		event: events.OpeningPlaced, flow: o.flow, agent: a.ip, hop: uint8(o.asked), version: b.Configured(), class: c, age: now - a.heard,
 	}, now)
-	o.hop = hop
-	b.send(o.packet[:HeaderLen+o.length], Message{Kind: KindOpening, Hop: hop, Opening: o.id, Service: o.service, Cold: b.cold(o.service)}, a.ip)
+	o.priority = p
+	b.send(o.packet[:HeaderLen+o.length], Message{Kind: KindOpening, Priority: p, Opening: o.id, Service: o.service, Cold: b.cold(o.service)}, a.ip)
 	b.openings.wait(o, now)
 }
 
@@ -372,7 +349,7 @@
 	case ReasonBusy:
 		o.silent, o.busy = true, true // it will have room before the caller gives up
 		if a := b.agents.byIP[from]; a != nil {
-			a.decline(o.hop, int(h.Hop), now)
+			a.decline(o.priority, int(h.Requests), now)
 		}
 		if o.idlest == 0 || h.Load < o.requests {
 			o.idlest, o.requests = from, h.Load
--- a/datagram/openings_test.go
+++ b/datagram/openings_test.go
@@ -31,15 +31,15 @@
 
 // Every upstream is full. An opening waited for the caller's copy, 200 ms, and met
 // full upstreams again; a confirmation's aim is 200 ms. It waits at the balancer and
-// asks one agent at a time, and an urgent one presses the idlest at once.
+// asks one agent at a time, and an urgent one insists at the idlest at once.
 func TestOpeningWaitsForRoomAtTheBalancer(t *testing.T) {
 	for name, x := range map[string]struct {
-		urgent bool
-		first  int // askings before it waits
-		hop    uint8
+		urgent   bool
+		first    int // askings before it waits
+		priority Priority
 	}{
-		"urgent":     {true, 4, pressingUrgent},
-		"not urgent": {false, 3, pressing},
+		"urgent":     {true, 4, PriorityUrgent},
+		"not urgent": {false, 3, PriorityRepeated},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := 10 * time.Second
@@ -47,7 +47,7 @@
 			b.config.Routes[Endpoint{2, 443}] = Route{Shares: []Share{{7, 1}}, Urgent: x.urgent}
 			b.HandleCaller(plainPacket(plainOpening, 1), now)
 			busy := func() {
-				b.refused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Hop: 10}, now)
+				b.refused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, now)
 			}
 			for range x.first {
 				busy()
@@ -57,8 +57,8 @@
 			}
 			now += roomAfter
 			b.Tick(now)
-			if len(s.to) != x.first+1 || s.process[x.first].Hop != x.hop {
-				t.Fatalf("asked %v with hop %d after %v", s.to, s.process[len(s.to)-1].Hop, roomAfter)
+			if len(s.to) != x.first+1 || s.process[x.first].Priority != x.priority {
+				t.Fatalf("asked %v with priority %d after %v", s.to, s.process[len(s.to)-1].Priority, roomAfter)
 			}
 			for range 100 {
 				busy()
@@ -84,7 +84,7 @@
 	asked := 0
 	for end := now + time.Second; now < end; now += time.Millisecond {
 		for ; asked < len(s.to); asked++ {
-			b.refused(s.to[asked], Message{Opening: s.process[asked].Opening, Reason: ReasonBusy, Load: 20, Hop: 10}, now)
+			b.refused(s.to[asked], Message{Opening: s.process[asked].Opening, Reason: ReasonBusy, Load: 20, Requests: 10}, now)
 		}
 		for ip := range b.agents.byIP {
 			b.agents.byIP[ip].heard = now
@@ -110,7 +110,7 @@
 		if s.to[i] == 4 {
 			t.Fatalf("asked %v; agent 4 is doubted", s.to)
 		}
-		b.refused(s.to[i], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Hop: 10}, now)
+		b.refused(s.to[i], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, now)
 	}
 	if len(s.to) != 3 {
 		t.Errorf("asked %v, want the three that are heard", s.to)
@@ -128,27 +128,27 @@
 func TestLateOpeningsYield(t *testing.T) {
 	now := 10 * time.Second
 	for name, x := range map[string]struct {
-		urgent  bool
-		aim     time.Duration
-		waited  time.Duration
-		hop     uint8
-		belowAt float64 // requests a slot up to which an agent takes it
+		urgent   bool
+		aim      time.Duration
+		waited   time.Duration
+		priority Priority
+		belowAt  float64 // requests a slot up to which an agent takes it
 	}{
-		"can be in time":           {false, 150 * time.Millisecond, 50 * time.Millisecond, pressing, fullAt},
-		"urgent, can be in time":   {true, 150 * time.Millisecond, 50 * time.Millisecond, pressingUrgent, fullAtUrgent},
-		"will be late":             {false, 150 * time.Millisecond, 100 * time.Millisecond, pressingLate, lateAt},
-		"urgent, will be late":     {true, 150 * time.Millisecond, 100 * time.Millisecond, pressingLateUrgent, lateAtUrgent},
-		"a caller's second copy":   {false, 150 * time.Millisecond, copyAge(1), pressingLate, lateAt},
-		"a route without an aim":   {false, 0, time.Second, pressing, fullAt},
-		"a route with a long aim":  {false, 500 * time.Millisecond, copyAge(1), pressing, fullAt},
-		"its caller's third copy":  {false, 500 * time.Millisecond, copyAge(2), pressingLate, lateAt},
-		"urgent, its second copy":  {true, 200 * time.Millisecond, copyAge(1), pressingLateUrgent, lateAtUrgent},
-		"urgent, without any wait": {true, 200 * time.Millisecond, 0, pressingUrgent, fullAtUrgent},
+		"can be in time":           {false, 150 * time.Millisecond, 50 * time.Millisecond, PriorityRepeated, fullAt},
+		"urgent, can be in time":   {true, 150 * time.Millisecond, 50 * time.Millisecond, PriorityUrgent, fullAtUrgent},
+		"will be late":             {false, 150 * time.Millisecond, 100 * time.Millisecond, PriorityLate, lateAt},
+		"urgent, will be late":     {true, 150 * time.Millisecond, 100 * time.Millisecond, PriorityLateUrgent, lateAtUrgent},
+		"a caller's second copy":   {false, 150 * time.Millisecond, copyAge(1), PriorityLate, lateAt},
+		"a route without an aim":   {false, 0, time.Second, PriorityRepeated, fullAt},
+		"a route with a long aim":  {false, 500 * time.Millisecond, copyAge(1), PriorityRepeated, fullAt},
+		"its caller's third copy":  {false, 500 * time.Millisecond, copyAge(2), PriorityLate, lateAt},
+		"urgent, its second copy":  {true, 200 * time.Millisecond, copyAge(1), PriorityLateUrgent, lateAtUrgent},
+		"urgent, without any wait": {true, 200 * time.Millisecond, 0, PriorityUrgent, fullAtUrgent},
 	} {
 		t.Run(name, func(t *testing.T) {
 			o := opening{urgent: x.urgent, aim: x.aim, started: now - x.waited}
-			if hop := o.press(now); hop != x.hop || limitOf(hop) != x.belowAt {
-				t.Errorf("hop %d, limit %v", hop, limitOf(hop))
+			if p := o.repeated(now); p != x.priority || p.limit() != x.belowAt {
+				t.Errorf("priority %d, limit %v", p, p.limit())
 			}
 		})
 	}
--- a/datagram/order.go
+++ b/datagram/order.go
@@ -6,9 +6,8 @@
 // the highest first: as openings are placed, but those in availability zones that are
 // out before the others.
 //
-// An agent in a zone that is out drops what it holds. Were it asked after others, a
-// flow that it holds would meanwhile be put before foreign upstreams by agents that
-// were just started, and never reach its own.
+// An agent in a zone that is out drops what it holds. Were it asked after others, agents
+// that have just started would put a flow that it holds before foreign upstreams.
 func (x *agents) rank(hash uint64, a *agentView) uint64 {
 	r := fleet.Mix(hash, a.key) >> 1
 	if x.out[a.status.Zone] {
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -146,8 +146,8 @@
 // tell, and are its to remove from the records: each dead member has one balancer
 // that does so, chosen by rendezvous among those that are heard.
 //
-// Records of VMs that died would stay for good; after a loss of power each held up
-// the resets of flows that are gone, and openings went there first.
+// Records of VMs that died would stay for good, and each holds up the resets of flows
+// that are gone after a loss of power.
 func (b *Balancer) Reap(ms []Member, now time.Duration) []IP {
 	if now < reapAfter {
 		return nil
--- a/datagram/placement.go
+++ b/datagram/placement.go
@@ -25,14 +25,14 @@
 // choose returns the agent for an opening: of the best class, the less loaded of
 // the two that the hash ranks first, and rather one of the own availability zone.
 //
-// An agent that would decline an opening with the hop is left out; busy says whether
+// An agent that would decline an opening of the priority is left out; busy says whether
 // there was one.
-func (x *agents) choose(hash uint64, s ServiceKey, tried []IP, hop uint8, now time.Duration) (_ *agentView, _ class, busy bool) {
+func (x *agents) choose(hash uint64, s ServiceKey, tried []IP, p Priority, now time.Duration) (_ *agentView, _ class, busy bool) {
 	var all, near pair
 	best := classNever
 	for _, a := range x.byService[s] {
 		c := a.class(now, x.out)
-		if a.busy(hop, now) {
+		if a.busy(p, now) {
 			busy = busy || c < classDoubted
 			continue
 		}
@@ -49,7 +49,7 @@
 		}
 	}
 	if busy && best >= classDoubted {
-		// Room comes free in some milliseconds; one that is dead would take 60.
+		// Room comes free sooner than one that is dead is found to be.
 		return nil, best, true
 	}
 	if x.placement == PlaceByHash {
--- a/datagram/upstream.go
+++ b/datagram/upstream.go
@@ -45,7 +45,7 @@
 }
 
 // silentUpstreamAfter is how long an opening waits for any packet of the
-// upstream before it is held for silent; a handshake takes 0.3 ms.
+// upstream before it is held for silent, many times a handshake.
 const silentUpstreamAfter = 50 * time.Millisecond
 
 // accept takes in an announcement; fresh is false for one that is late or
@@ -84,18 +84,17 @@
 // bornUnder reports whether the upstream started when no earlier run of the agent,
 // which has been up for so long, could have given it flows.
 //
-// After a loss of power upstreams are often up some 50 ms before their agents, whose
-// first announcement is then the third. Such an agent knows all flows all the same;
-// while it did not say so, walks ended at it if its zone was out, and callers of
-// other upstreams waited for their deadlines.
+// After a loss of power upstreams are often up before their agents, which then miss their
+// first announcement. Such an agent knows all flows all the same, and has to say so, or
+// lookups of lost flows would wait for it.
 func (a *Announcement) bornUnder(up time.Duration) bool {
 	return a.Age > 0 && a.Age < up+restartLeast
 }
 
-// restartLeast is less than a killed process takes to be started again, 0.5 s. The
-// VM's clock may have jumped back since the upstream started, which makes its age
-// small or negative; one that is just so much too small can only mislead within
-// seconds of both a jump and a restart of upstream and agent.
+// restartLeast is less than a killed process takes to be started again. The VM's clock may
+// have jumped back since the upstream started, which makes its age small or negative; one
+// that is just so much too small can only mislead within seconds of both a jump and a
+// restart of upstream and agent.
 const restartLeast = 200 * time.Millisecond
 
 // silent reports whether the upstream has left an opening unanswered.
--- a/node/askpeers.go
+++ b/node/askpeers.go
@@ -74,8 +74,8 @@
 // askOffered reads the view of a balancer that has just got a configuration, when this
 // one has none.
 //
-// After a loss of power in an outage of the store, balancers served as soon as each
-// had read the store itself, over 0.3 s after its return; the first can tell them all.
+// After a loss of power in an outage of the store, the first balancer that has read the
+// store can tell all others.
 func (b *Balancer) askOffered(from datagram.IP, peers int) {
 	if clock.Sleep(b.ctx, rand.N(offerSpread*time.Duration(peers+1))) {
 		b.ask(netip.AddrPortFrom(from.Addr(), b.settings.View.Port()))
--- a/node/loop.go
+++ b/node/loop.go
@@ -51,8 +51,7 @@
 	broken atomic.Uint64
 }
 
-// ringLen bounds the events that wait: 64 datagrams are a fifth of a second of
-// the busiest balancer, and 100 kB.
+// ringLen bounds the events that wait, and their memory.
 const ringLen = 64
 
 // beforeTick bounds the events that are handled before it is judged what is overdue.
--- a/node/reload.go
+++ b/node/reload.go
@@ -18,8 +18,8 @@
 
 // watchSettings applies the settings file at SIGHUP and when it has changed.
 //
-// Without a handler SIGHUP ends the process, and a zone's reload took its
-// balancers away at the same moment.
+// Without a handler SIGHUP would end the process, and a zone's reload all its balancers at
+// the same moment.
 func (b *base) watchSettings(ctx context.Context, apply func(*platform.Settings)) error {
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGHUP)
--- a/node/store.go
+++ b/node/store.go
@@ -15,13 +15,11 @@
 )
 
 const (
-	// storeTimeout bounds a call to the store: 4 ms an answer, some 350 ms when
-	// it is slow.
+	// storeTimeout bounds a call to the store, well over the answers of a slow one.
 	storeTimeout = 1500 * time.Millisecond
-	// firstTimeout bounds the first tries of a read, each fifth one doubled: a
-	// hundred times the usual answer, and over that of a slow store. A store that
-	// was silent when a process started answers on new connections alone, so who
-	// waits long on an old one starts serving that much later.
+	// firstTimeout bounds the first tries of a read, each fifth one doubled; it is over
+	// the answer of a slow store. A store that was silent when a process started answers
+	// on new connections alone, so who waits long on an old one starts serving later.
 	firstTimeout = 400 * time.Millisecond
 	// eagerMost spaces the tries of a process that has read nothing yet; eagerFor
 	// ends that, so that an outage costs few calls.
@@ -30,14 +28,12 @@
 	// A watch can miss a change for good: the store may drop its history while
 	// one waits, and its connection may be silent. So some balancers, chosen by
 	// rendezvous, wait shortly, find out with their next watch, and tell the
-	// others, who wait long. Each watch is a call. What is found after watchShort
-	// is in force everywhere about a second later, within the 3 s that operators
-	// are promised and the 4 s after which a store counts as stable again.
+	// others, who wait long. Each watch is a call. watchShort keeps what is found so
+	// within the bound that operators are promised.
 	watchShort = 3 * time.Second
 	watchLong  = 16 * time.Second
-	// watchGrace is what a watch is given beyond its wait: four answers of a slow store,
-	// which take 0.24 s. On a connection that has gone silent that is the time until
-	// the next try.
+	// watchGrace is what a watch is given beyond its wait, some answers of a slow store.
+	// On a connection that has gone silent that is the time until the next try.
 	watchGrace = time.Second
 	// watchersLeast is how many wait shortly.
 	watchersLeast = 3
