Ask the balancer that told of a newer configuration

The store drops its history and two balancers are cut off; one balancer finds version 8, by its own watch's end, and says so each 0.25 s. The others wait two rounds and then ask the seeds and peers in turn, of whom one has it and two do not answer: 1.1 to 2.9 s. Ruled out: the statuses, which told of it; the time to read a view.

Change: who told of the newest version last is asked in each second round, spread by a millisecond a balancer; the other rounds go on in turn, as the holder may be one that can't be reached.

The test fails without: not in 30 s with a thousand seeds that do not answer.

--- a/node/askpeers.go
+++ b/node/askpeers.go
@@ -29,9 +29,10 @@
 			return
 		}
 		var have, want datagram.Version
+		var holder datagram.IP
 		var ips []datagram.IP
 		if !b.loop.do(b.ctx, func(time.Duration) {
-			have, want, ips = b.balancer.Configured(), b.newest, b.balancer.Peers()
+			have, want, holder, ips = b.balancer.Configured(), b.newest, b.holder, b.balancer.Peers()
 		}) {
 			return
 		}
@@ -41,14 +42,19 @@
 		}
 		if from != 0 {
 			if have == 0 {
-				b.askOffered(from, len(ips))
+				b.askSoon(from, len(ips))
 			}
 			continue
 		}
-		if b.behind++; have != 0 && b.behind < 2 {
-			continue // the store's own notice is on its way
+		b.behind++
+		switch {
+		case have != 0 && b.behind < 2:
+			// The store's own notice is on its way.
+		case holder != 0 && b.behind%2 == 0:
+			b.askSoon(holder, len(ips))
+		default:
+			b.askPeer(ips, round) // the holder may be one that can't be reached
 		}
-		b.askPeer(ips, round)
 	}
 }
 
@@ -67,17 +73,13 @@
 	}
 }
 
-// offerSpread keeps those that were offered a configuration from asking all at once:
-// a view takes about a millisecond to give.
-const offerSpread = time.Millisecond
+// askSpread for each balancer keeps them from asking one of them all at once: it is about
+// the time in which a view is given.
+const askSpread = time.Millisecond
 
-// askOffered reads the view of a balancer that has just got a configuration, when this
-// one has none.
-//
-// After a loss of power in an outage of the store, the first balancer that has read the
-// store can tell all others.
-func (b *Balancer) askOffered(from datagram.IP, peers int) {
-	if clock.Sleep(b.ctx, rand.N(offerSpread*time.Duration(peers+1))) {
+// askSoon reads the view of a balancer that has a newer configuration.
+func (b *Balancer) askSoon(from datagram.IP, peers int) {
+	if clock.Sleep(b.ctx, rand.N(askSpread*time.Duration(peers+1))) {
 		b.ask(netip.AddrPortFrom(from.Addr(), b.settings.View.Port()))
 	}
 }
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -28,8 +28,10 @@
 	store    *store
 	ready    atomic.Bool
 	view     atomic.Pointer[View]
-	// newest is the latest version that any balancer has told of.
+	// newest is the latest version that any balancer has told of, and holder the one that
+	// told of it last.
 	newest datagram.Version
+	holder datagram.IP
 	// offers are balancers that have a configuration when this one has none; one is
 	// enough.
 	offers chan datagram.IP
@@ -61,7 +63,9 @@
 	b.balancer.Observe = s.observe
 	b.offers = make(chan datagram.IP, 1)
 	b.balancer.Behind = func(from datagram.IP, v datagram.Version) {
-		b.newest = max(b.newest, v)
+		if v >= b.newest {
+			b.newest, b.holder = v, from
+		}
 		if b.balancer.Configured() != 0 {
 			return // the store tells it; if that fails, the rounds do
 		}
--- a/node/offer_test.go
+++ b/node/offer_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -67,3 +68,35 @@
 		return done
 	})
 }
+
+// Guards against a configuration that comes late to a balancer whose watch missed it, as
+// it asks others in their order, of which many do not answer, and not the one that told
+// of it.
+func TestHolderOfANewerConfigurationIsAsked(t *testing.T) {
+	s := newSite(t)
+	first, err := NewBalancer(s.options(balancerIP), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.run(first)()
+	second, err := NewBalancer(s.options("127.0.0.12"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second.store.current.Store(platform.NewClient("http://127.0.0.13:1", ""))
+	mute := *second.settings
+	mute.Store, mute.Seeds = "http://127.0.0.13:1", nil
+	for range 1000 {
+		mute.Seeds = append(mute.Seeds, netip.MustParseAddrPort("127.0.0.13:1"))
+	}
+	second.live.Store(&mute)
+	second.balancer.SetConfiguration(&datagram.Configuration{Version: 2})
+	defer s.run(second)()
+	s.eventually("the newer configuration", func() (done bool) {
+		second.loop.do(t.Context(), func(time.Duration) {
+			second.balancer.Behind(first.self(), 3)
+			done = second.balancer.Configured() == 3
+		})
+		return done
+	})
+}
