Give duties at the store to balancers that it answers

Change: a status says whether the store answered its sender's last call; duties go to those that it answers first, and to others only if there are too few. One byte more in a balancer's status, which earlier versions can't read.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -33,6 +33,8 @@
 	Observe observer
 	// LookupRate bounds the messages of lookups a second; 0 means lookupUsual.
 	LookupRate float64
+	// Detached says that the store does not answer.
+	Detached bool
 	// Behind is called when another process has a newer configuration.
 	Behind func(from IP, v Version)
 
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -82,6 +82,37 @@
 	return b, s
 }
 
+// Guards against a change of the store that nobody learns of, as those who are to look for
+// it are the ones that the store does not answer.
+func TestDutiesOfTheStoreGoToThoseThatItAnswers(t *testing.T) {
+	for name, x := range map[string]struct{ detached, attachedOnDuty, detachedOnDuty int }{
+		"all are answered": {0, 3, 0},
+		"some are not":     {4, 3, 0},
+		"two are answered": {5, 2, 1},
+		"none is answered": {7, 0, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			on := map[bool]int{}
+			for self := IP(101); self <= 107; self++ {
+				b := &Balancer{Self: self, Format: plain{}, Out: newSent(t), Keys: testKeys(t), Detached: int(self) <= 100+x.detached}
+				b.Start()
+				for ip := IP(101); ip <= 107; ip++ {
+					m := (&BalancerStatus{Life: Life(ip), Detached: int(ip) <= 100+x.detached}).append(make([]byte, HeaderLen))
+					h := Message{Kind: KindBalancer}
+					h.Put(m, b.Keys[0])
+					b.HandleMessage(ip, m, time.Second)
+				}
+				if b.Among(3, time.Second) {
+					on[b.Detached]++
+				}
+			}
+			if on[false] != x.attachedOnDuty || on[true] != x.detachedOnDuty {
+				t.Errorf("on duty: %d that the store answers, %d that it does not", on[false], on[true])
+			}
+		})
+	}
+}
+
 // A VM dies for good; its record would stay, and after the next loss of power hold
 // up what is told to callers. One balancer removes it, and never one that lives.
 func TestOneBalancerRemovesTheRecordsOfTheDead(t *testing.T) {
--- a/datagram/message_test.go
+++ b/datagram/message_test.go
@@ -50,7 +50,7 @@
 	if b := a.append(nil); !got.decode(b) || got != a || len(b) != agentStatusLen {
 		t.Errorf("%+v", got)
 	}
-	b := BalancerStatus{Life: 1, Version: 2, Revision: 3, Leaving: true, Zones: []ZoneKey{4, 5}, Balancers: []IP{6, 7, 8}}
+	b := BalancerStatus{Life: 1, Version: 2, Revision: 3, Leaving: true, Detached: true, Zones: []ZoneKey{4, 5}, Balancers: []IP{6, 7, 8}}
 	var back BalancerStatus
 	if !back.decode(b.append(nil)) || !reflect.DeepEqual(back, b) {
 		t.Errorf("%+v", back)
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -13,6 +13,7 @@
 	life        Life
 	noted       time.Duration // when it was known first
 	heard, told time.Duration // 0: never
+	detached    bool          // the store does not answer it
 	differs     difference
 }
 
@@ -29,10 +30,21 @@
 	return ips
 }
 
-// Among reports whether this is one of the n balancers that rendezvous chooses of
-// those that are heard, for duties that few are enough for.
+// Among reports whether this is one of the n balancers that rendezvous chooses of those
+// that are heard, for duties that few are enough for. Those that the store answers are
+// chosen first, as all these duties are for it.
 func (b *Balancer) Among(n int, now time.Duration) bool {
-	return contains(nearest(dutyKey, b.heard(now), n), b.Self)
+	var attached, detached []IP
+	for _, ip := range b.heard(now) {
+		if p := b.peers[ip]; p != nil && p.detached || p == nil && b.Detached {
+			detached = append(detached, ip)
+		} else {
+			attached = append(attached, ip)
+		}
+	}
+	chosen := nearest(dutyKey, attached, n)
+	chosen = append(chosen, nearest(dutyKey, detached, n-len(chosen))...)
+	return contains(chosen, b.Self)
 }
 
 // dutyKey is any number that all balancers share.
@@ -88,6 +100,7 @@
 	}
 	b.meet(from, now)
 	p := b.peers[from]
+	p.detached = s.Detached
 	if p.heard = now; p.life != s.Life {
 		p.life = s.Life
 		b.tellOne(from, now) // it has just started and knows few
@@ -308,7 +321,7 @@
 
 func (b *Balancer) statusMessage(most int) []byte {
 	s := BalancerStatus{
-		Life: b.Life, Version: b.Configured(), Revision: b.revision, Leaving: b.leaving,
+		Life: b.Life, Version: b.Configured(), Revision: b.revision, Leaving: b.leaving, Detached: b.Detached,
 		Agents: uint16(min(len(b.agents.byIP), math.MaxUint16)), Homes: b.homes.digest,
 	}
 	for z := range b.out {
--- a/datagram/status.go
+++ b/datagram/status.go
@@ -98,6 +98,8 @@
 	Version  Version
 	Revision uint64
 	Leaving  bool
+	// Detached: the store does not answer the sender.
+	Detached bool
 	// Agents is how many agents the sender knows.
 	Agents uint16
 	// Homes is the digest of the balancers among which the sender chooses homes.
@@ -118,6 +120,7 @@
 	Version          Version
 	Revision         uint64
 	Leaving          bool
+	Detached         bool
 	Agents           uint16
 	Homes            uint64
 	Zones, Balancers uint8
@@ -125,7 +128,7 @@
 
 func (s *BalancerStatus) append(b []byte) []byte {
 	z, r := s.Zones[:min(len(s.Zones), zonesMost)], s.Balancers[:min(len(s.Balancers), balancersMost)]
-	h := balancerHead{s.Life, s.Version, s.Revision, s.Leaving, s.Agents, s.Homes, uint8(len(z)), uint8(len(r))}
+	h := balancerHead{s.Life, s.Version, s.Revision, s.Leaving, s.Detached, s.Agents, s.Homes, uint8(len(z)), uint8(len(r))}
 	b, _ = binary.Append(b, binary.BigEndian, &h)
 	b, _ = binary.Append(b, binary.BigEndian, z)
 	b, _ = binary.Append(b, binary.BigEndian, r)
@@ -138,7 +141,7 @@
 	if binary.Read(r, binary.BigEndian, &h) != nil || r.Len() != int(h.Zones)*8+int(h.Balancers)*4 {
 		return false
 	}
-	*s = BalancerStatus{Life: h.Life, Version: h.Version, Revision: h.Revision, Leaving: h.Leaving, Agents: h.Agents, Homes: h.Homes}
+	*s = BalancerStatus{Life: h.Life, Version: h.Version, Revision: h.Revision, Leaving: h.Leaving, Detached: h.Detached, Agents: h.Agents, Homes: h.Homes}
 	s.Zones, s.Balancers = make([]ZoneKey, h.Zones), make([]IP, h.Balancers)
 	return binary.Read(r, binary.BigEndian, s.Zones) == nil && binary.Read(r, binary.BigEndian, s.Balancers) == nil
 }
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -104,7 +104,7 @@
 	b.ready.Store(b.balancer.Ready())
 	if now-b.chosen >= datagram.StatusEvery {
 		// Not at each packet: it sorts the balancers, and they change with statuses.
-		b.chosen = now
+		b.chosen, b.balancer.Detached = now, b.store.detached.Load()
 		b.store.watcher.Store(b.balancer.Among(watchersLeast, now))
 	}
 	return at
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -292,3 +292,15 @@
 		t.Errorf("%v allocations a tick", n)
 	}
 }
+
+// Guards against a balancer that is cut off from the store and is believed to watch it.
+func TestStoreThatDoesNotAnswerIsNoted(t *testing.T) {
+	s := testStore(nil)
+	var down bool
+	for _, x := range []error{nil, platform.ErrDown, nil} {
+		s.lost(&down, platform.KindConfiguration, x)
+		if s.detached.Load() != (x != nil) {
+			t.Errorf("after %v: detached %t", x, s.detached.Load())
+		}
+	}
+}
--- a/node/store.go
+++ b/node/store.go
@@ -49,6 +49,8 @@
 	log     *events.Log
 	// watcher: this balancer is one of those that wait shortly.
 	watcher atomic.Bool
+	// detached: the last call was not answered.
+	detached atomic.Bool
 }
 
 func newStore(s *platform.Settings, l *events.Log) *store {
@@ -129,6 +131,7 @@
 		s.log.Add(events.PlatformUp, slog.String("kind", string(k)))
 	}
 	*was = err != nil
+	s.detached.Store(*was)
 }
 
 // follow keeps take informed of all objects of a kind, by name, as of a
