Call what tells a client of a cold upstream a warning

Cause: 'telling' is no term of the field. Measured: go test ./standin ./experiment -run Overloaded passes.

--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -67,7 +67,7 @@
 	mu      sync.Mutex
 	bears   int
 	answers int
-	telling telling
+	warning warning
 	// turns counts the times it turned cold; work begun before the last one
 	// tells nothing of it.
 	turns int
@@ -96,7 +96,7 @@
 func (u *Upstream) TurnCold() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.telling.turnCold(u.bears < u.Slots)
+	u.warning.turnCold(u.bears < u.Slots)
 	u.bears, u.answers = max(u.ColdSlots, 1), 0
 	u.turns++
 }
@@ -133,7 +133,7 @@
 	defer u.mu.Unlock()
 	if u.bears == 0 {
 		u.bears = max(u.ColdSlots, 1)
-		u.telling.announce()
+		u.warning.announce()
 	}
 	p = &piece{ctx: r.Context(), began: time.Now(), path: r.URL.Path, turn: u.turns}
 	u.LastWork.Store(p.began.UnixNano())
@@ -149,7 +149,7 @@
 		return p, 0, false
 	case running > u.bears:
 		u.OverCold.Add(1)
-		if u.telling.warned(sentAt(r)) {
+		if u.warning.warned(sentAt(r)) {
 			u.OverWarned.Add(1)
 			u.noteOver("cold")
 		}
@@ -174,7 +174,7 @@
 	}
 	slices.Sort(under)
 	u.over = append(u.over, fmt.Sprintf("beyond %s: upstream %s bears %d, turn %d, %d answers, told %v ago, under way: %s",
-		beyond, u.Name, u.bears, u.turns, u.answers, time.Since(u.telling.told).Round(time.Millisecond), strings.Join(under, "; ")))
+		beyond, u.Name, u.bears, u.turns, u.answers, time.Since(u.warning.given).Round(time.Millisecond), strings.Join(under, "; ")))
 }
 
 // Over returns notes on the work beyond what it bears.
@@ -189,7 +189,7 @@
 func (u *Upstream) Heard(h Heard) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.telling.heard(h, u.bears < u.Slots)
+	u.warning.heard(h, u.bears < u.Slots)
 }
 
 func (u *Upstream) end(p *piece, good bool) {
@@ -204,7 +204,7 @@
 	}
 	u.answers, u.bears = 0, min(u.bears*2, u.Slots)
 	if u.bears == u.Slots {
-		u.telling.warm()
+		u.warning.warm()
 	}
 }
 
