Let callers' datagrams wait by time and not by number

Cause: 64 datagrams are 40 ms of the smallest balancer and 6 ms of a large one, which would drop most of a burst that it can handle in time.

Change: up to 512 wait, and none is handled that has waited 0.1 s, half the time after which callers repeat themselves. The emulator's processors do the same.

--- a/experiment/vm.go
+++ b/experiment/vm.go
@@ -32,9 +32,9 @@
 	// wholeCost is what a message costs of a whole core.
 	wholeCost = 40 * time.Microsecond
 	// unreadMost are the datagrams that wait for a processor before more are dropped, and
-	// callersMost those of callers.
-	unreadMost  = 500
-	callersMost = 64
+	// callersPatience is how long those of callers wait.
+	unreadMost      = 500
+	callersPatience = 100 * time.Millisecond
 	// linkTurn is how many of the fleet's own messages go before one of a caller.
 	linkTurn = 8
 	// queuedMost is the time that datagrams wait for a link before more are dropped.
@@ -68,12 +68,18 @@
 	classEnd
 )
 
+// job is something for a processor to do.
+type job struct {
+	came time.Duration
+	do   func()
+}
+
 // machine is a VM with a processor and a link.
 type machine struct {
 	w       *world
 	size    size
 	life    int
-	waiting [classEnd][]func()
+	waiting [classEnd][]job
 	working bool
 	turn    int // messages of the fleet since the last of a caller
 	in, out lane
@@ -92,7 +98,7 @@
 // begin starts a life with nothing to do.
 func (v *machine) begin() {
 	v.life++
-	v.waiting, v.working, v.turn = [classEnd][]func(){}, false, 0
+	v.waiting, v.working, v.turn = [classEnd][]job{}, false, 0
 	v.in, v.out, v.outbox = lane{}, lane{}, nil
 }
 
@@ -128,13 +134,9 @@
 		return
 	}
 	v.later(wait, func() {
-		switch n := len(v.waiting[c]); {
-		case c == classCaller && n >= callersMost:
-			v.waiting[c] = v.waiting[c][1:] // the oldest
-		case n >= unreadMost:
-			return
+		if len(v.waiting[c]) < unreadMost {
+			v.work(c, f)
 		}
-		v.work(c, f)
 	})
 }
 
@@ -144,7 +146,7 @@
 		f()
 		return
 	}
-	v.waiting[c] = append(v.waiting[c], f)
+	v.waiting[c] = append(v.waiting[c], job{v.w.now, f})
 	if !v.working {
 		v.working = true
 		v.later(v.size.cost, v.next)
@@ -153,10 +155,12 @@
 
 // next does what is first, and goes on while something waits.
 func (v *machine) next() {
-	c := v.first()
-	f := v.waiting[c][0]
-	v.waiting[c] = v.waiting[c][1:]
-	f()
+	if c, ok := v.first(); ok {
+		f := v.waiting[c][0].do
+		v.waiting[c] = v.waiting[c][1:]
+		f()
+	}
+	v.dropOld()
 	if len(v.waiting[classSend])+len(v.waiting[classLink])+len(v.waiting[classCaller]) == 0 {
 		v.working = false
 		return
@@ -164,17 +168,26 @@
 	v.later(v.size.cost, v.next)
 }
 
-// first returns the class of what is next; something waits.
-func (v *machine) first() class {
+// dropOld drops callers' datagrams that have waited too long.
+func (v *machine) dropOld() {
+	w := v.waiting[classCaller]
+	for len(w) > 0 && v.w.now-w[0].came >= callersPatience {
+		w = w[1:]
+	}
+	v.waiting[classCaller] = w
+}
+
+// first returns the class of what is next; false if nothing waits.
+func (v *machine) first() (class, bool) {
 	switch {
 	case len(v.waiting[classSend]) > 0:
-		return classSend
-	case len(v.waiting[classLink]) == 0, len(v.waiting[classCaller]) > 0 && v.turn >= linkTurn:
-		v.turn = 0
-		return classCaller
+		return classSend, true
+	case len(v.waiting[classLink]) > 0 && (len(v.waiting[classCaller]) == 0 || v.turn < linkTurn):
+		v.turn++
+		return classLink, true
 	}
-	v.turn++
-	return classLink
+	v.turn = 0
+	return classCaller, len(v.waiting[classCaller]) > 0
 }
 
 // later does something after a while unless this life has ended.
--- a/node/loop.go
+++ b/node/loop.go
@@ -31,6 +31,7 @@
 	n    int // length of the datagram, which begins at HeaderLen
 	from netip.AddrPort
 	at   source
+	came time.Duration // when it was read
 }
 
 // message returns the datagram as a message of another process.
@@ -45,7 +46,7 @@
 // What the fleet says goes before what callers send: it ends work that was begun, and a
 // balancer that takes on more than it can end repeats itself and ends nothing. A reader
 // that finds the fleet's ring full waits, and the kernel then drops datagrams. Of callers
-// the oldest datagram is dropped, as it is the first that is repeated or given up.
+// those that have waited too long are dropped, as they are repeated soon.
 type loop struct {
 	start   time.Time
 	events  chan any
@@ -57,8 +58,13 @@
 }
 
 const (
-	// ringLen bounds the events that wait in each ring, and their memory.
-	ringLen = 64
+	// ringLen bounds the events that wait, and callersLen the datagrams of callers: what
+	// a large VM handles before they are too old.
+	ringLen    = 64
+	callersLen = 512
+	// callersPatience is how long a datagram of a caller may wait: half the time after
+	// which callers repeat themselves.
+	callersPatience = 100 * time.Millisecond
 	// fleetTurn is how many events of the fleet go before a datagram of a caller if both
 	// wait, so that neither stops the other.
 	fleetTurn = 8
@@ -69,8 +75,8 @@
 
 func newLoop() *loop {
 	return &loop{
-		start: time.Now(), events: make(chan any, ringLen), callers: make(chan *buffer, ringLen),
-		free: make(chan *buffer, 2*ringLen+8),
+		start: time.Now(), events: make(chan any, ringLen), callers: make(chan *buffer, callersLen),
+		free: make(chan *buffer, ringLen+8),
 	}
 }
 
@@ -161,14 +167,24 @@
 		}
 	}
 	*turn = 0
-	select {
-	case b := <-l.callers:
-		return b
-	default:
-		return nil
+	for {
+		select {
+		case b := <-l.callers:
+			if l.now()-b.came < callersPatience {
+				return b
+			}
+			l.drop(b)
+		default:
+			return nil
+		}
 	}
 }
 
+func (l *loop) drop(b *buffer) {
+	l.dropped.Add(1)
+	l.release(b)
+}
+
 func (l *loop) handle(e any, h handler) {
 	switch e := e.(type) {
 	case *buffer:
@@ -197,8 +213,7 @@
 		}
 		select {
 		case old := <-l.callers:
-			l.dropped.Add(1)
-			l.release(old)
+			l.drop(old)
 		default:
 		}
 	}
@@ -216,7 +231,7 @@
 			l.release(b)
 			continue
 		}
-		b.n, b.from, b.at = n, from, at
+		b.n, b.from, b.at, b.came = n, from, at, l.now()
 		add(b)
 	}
 }
--- a/node/loop_test.go
+++ b/node/loop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -49,7 +50,7 @@
 // has given up.
 func TestOldestDatagramOfACallerIsDropped(t *testing.T) {
 	l := newLoop()
-	for i := range ringLen + 5 {
+	for i := range callersLen + 5 {
 		l.addCaller(&buffer{n: i})
 	}
 	if n := l.dropped.Load(); n != 5 {
@@ -60,6 +61,20 @@
 	}
 }
 
+// Guards against a queue of which all is handled, and all too late.
+func TestDatagramThatHasWaitedTooLongIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLoop()
+		l.addCaller(&buffer{n: 1, came: l.now()})
+		time.Sleep(callersPatience)
+		l.addCaller(&buffer{n: 2, came: l.now()})
+		turn := 0
+		if b, ok := l.first(&turn).(*buffer); !ok || b.n != 2 || l.dropped.Load() != 1 {
+			t.Errorf("next is %+v after %d that were dropped", b, l.dropped.Load())
+		}
+	})
+}
+
 // Guards against a loop that is never stopped while datagrams come without end.
 func TestBusyLoopStops(t *testing.T) {
 	l := newLoop()
