--- a/datagram/bench_test.go
+++ b/datagram/bench_test.go
@@ -44,7 +44,7 @@
 	return a, m
 }
 
-// A packet that allocates makes the collector part of every caller's wait.
+// Guards against allocations on the path of a packet.
 func TestPathOfAPacketDoesNotAllocate(t *testing.T) {
 	ks := testKeys(t)
 	b, m := benchBalancer(t, ks)
--- a/datagram/config_test.go
+++ b/datagram/config_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// A route's new flows are shared by weight, alike in every process, and a service
-// with no weight gets none.
+// Guards against processes that share a route's flows differently, and against flows for a
+// service without weight.
 func TestRouteSharesFlowsByWeight(t *testing.T) {
 	r := Route{Shares: []Share{{1, 90}, {2, 10}, {3, 0}}}
 	got := map[ServiceKey]int{}
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -113,8 +113,7 @@
 	}
 }
 
-// A VM dies for good; its record would stay, and after the next loss of power hold
-// up what is told to callers. One balancer removes it, and never one that lives.
+// Guards against records of dead VMs that stay, and the removal of one that lives.
 func TestOneBalancerRemovesTheRecordsOfTheDead(t *testing.T) {
 	start := 20 * time.Second
 	now := start + reapAfter + time.Second
@@ -140,8 +139,7 @@
 	}
 }
 
-// Whatever comes under the fleet's own key, also from a process of a former life at
-// this very address, must not end the process.
+// Guards against a process that ends by an odd message under the fleet's own key.
 func TestOddMessagesEndNothing(t *testing.T) {
 	now := 10 * time.Second
 	b, s := testBalancer(t, 2, now)
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -6,9 +6,7 @@
 	"time"
 )
 
-// A zone is out, and a balancer that has just started looks for a flow of another
-// zone. The agents of the zone that is out swallowed its packets, so a lesson that
-// had nothing to do with the zone stood still.
+// Guards against agents of a zone that is out that swallow packets of other zones' flows.
 func TestLookupPassesAZoneThatIsOut(t *testing.T) {
 	const now = 20 * time.Second
 	for name, x := range map[string]struct {
@@ -45,10 +43,8 @@
 	}
 }
 
-// An agent of a zone that is out was started after its upstream and may not ask it
-// for a flow. Whoever else is asked must know the flow to give it on, as the others'
-// upstreams would get the packets of a flow that lives there; and its end is not
-// proved.
+// Guards against a flow's packets at foreign upstreams, and against its end without a proof,
+// when an agent in a zone that is out may not ask its upstream for it.
 func TestLookupPastAnAgentThatMayNotAsk(t *testing.T) {
 	const now = 20 * time.Second
 	for name, x := range map[string]struct {
@@ -84,8 +80,7 @@
 	}
 }
 
-// What a silent agent may still hold: an agent whose upstream had left is taken away
-// with its VM, and nobody's flow need wait for it.
+// Guards against callers that wait for a silent agent which can hold no flow.
 func TestSilentAgentMayHoldFlows(t *testing.T) {
 	now := 20 * time.Second
 	for name, x := range map[string]struct {
--- a/datagram/gate_test.go
+++ b/datagram/gate_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// Each of these openings would break a promise if the agent gave it to its
-// upstream, whatever balancers believe.
+// Guards against openings that an upstream may not get, whatever balancers believe.
 func TestAgentIsTheGateForOpenings(t *testing.T) {
 	const now = 10 * time.Second
 	ready := Announcement{Service: 7, Born: 5, Sequence: 1, Slots: 5}
@@ -93,9 +92,7 @@
 	}
 }
 
-// Flows of a zone that goes out all ended at one moment, and an eighth of the callers of
-// the next two seconds waited in vain. They end one after another, none later than the
-// operators' bound, and the same way for every packet of a flow.
+// Guards against the flows of a zone that is out ending all at once, or after the bound.
 func TestFlowsOfAZoneThatIsOutEndOneByOne(t *testing.T) {
 	for name, bound := range map[string]time.Duration{"usual": 0, "short": 2 * time.Second} {
 		t.Run(name, func(t *testing.T) {
@@ -125,9 +122,7 @@
 	}
 }
 
-// The acknowledgement of an upload's end was lost, so its last piece came again
-// after the answer. It was counted as a request that never ends; after minutes
-// every upstream of uploads was held for busy, and one upload in two was refused.
+// Guards against upstreams that are held for busy by retransmissions after the answer.
 func TestRetransmissionAfterTheAnswerIsNoRequest(t *testing.T) {
 	a := &Agent{Format: plain{}}
 	a.Start()
--- a/datagram/message_test.go
+++ b/datagram/message_test.go
@@ -17,8 +17,7 @@
 	return link.NewKeys(r)
 }
 
-// A datagram of nobody's, or of ours with one bit changed on its way, must not
-// refuse an opening or claim a flow.
+// Guards against messages of strangers, and those with a bit changed on the way.
 func TestMessagesOfStrangersAreRefused(t *testing.T) {
 	ks := testKeys(t)
 	for name, m := range map[string]Message{
--- a/datagram/openings_test.go
+++ b/datagram/openings_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// An agent dies. Every opening that came to it waited 60 ms for it, as each was
-// sent there first; only the first may.
+// Guards against openings that wait one after another for an agent that is dead.
 func TestUnansweredOpeningMovesTheAgentBehind(t *testing.T) {
 	now := 10 * time.Second
 	b, s := testBalancer(t, 4, now-100*time.Millisecond)
@@ -29,9 +28,7 @@
 	}
 }
 
-// Every upstream is full. An opening waited for the caller's copy, 200 ms, and met
-// full upstreams again; a confirmation's aim is 200 ms. It waits at the balancer and
-// asks one agent at a time, and an urgent one insists at the idlest at once.
+// Guards against openings that wait for the caller's copy while upstreams get room.
 func TestOpeningWaitsForRoomAtTheBalancer(t *testing.T) {
 	for name, x := range map[string]struct {
 		urgent   bool
@@ -72,9 +69,7 @@
 	}
 }
 
-// Fifty openings wait while all upstreams are full. Each asked every agent every 40 ms,
-// together more than a balancer on a twelfth of a core can send, so that also those
-// that found room waited. Who was declined speaks for all that are held to its limit.
+// Guards against openings that wait and together ask more than a small balancer can send.
 func TestManyThatWaitAskLittle(t *testing.T) {
 	now := 10 * time.Second
 	b, s := testBalancer(t, 7, now-100*time.Millisecond)
@@ -99,8 +94,7 @@
 	}
 }
 
-// All upstreams that are heard are busy, and one VM is dead. Each opening that waited
-// was given to the dead agent first and lost 60 ms there, a third of its aim.
+// Guards against openings that lose their time at a dead agent while busy ones get room.
 func TestBusyAgentsGoBeforeDoubtedOnes(t *testing.T) {
 	now := 10 * time.Second
 	b, s := testBalancer(t, 4, now-100*time.Millisecond)
@@ -124,7 +118,7 @@
 	}
 }
 
-// What an opening is held to, by how long it has waited.
+// Guards against openings that can't be in time and go before those that can.
 func TestLateOpeningsYield(t *testing.T) {
 	now := 10 * time.Second
 	for name, x := range map[string]struct {
@@ -154,8 +148,7 @@
 	}
 }
 
-// Deadlines of two lengths stand in one queue. One that was put at the end though
-// it was due first kept openings waiting behind the others.
+// Guards against deadlines that are looked at after later ones.
 func TestDeadlinesComeInOrder(t *testing.T) {
 	x := newOpenings()
 	var ids []uint32
--- a/datagram/upstream_test.go
+++ b/datagram/upstream_test.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// A heartbeat that a partition held back arrives after the one that said
-// "draining", or after the next life began at the address. Taken, it would make
-// the agent give openings to an upstream that leaves.
+// Guards against openings at an upstream that leaves, by an announcement that comes late.
 func TestLateAnnouncementsChangeNothing(t *testing.T) {
 	for name, x := range map[string]struct {
 		said  []Announcement
@@ -33,8 +31,7 @@
 	}
 }
 
-// Only an agent that saw all of its upstream's life may say that a flow is not
-// there without asking: one that was restarted would deny flows that live.
+// Guards against the denial of flows that live by an agent that was restarted.
 func TestOnlyAnAgentOfTheWholeLifeKnowsAllFlows(t *testing.T) {
 	for name, x := range map[string]struct {
 		said []Announcement
@@ -63,8 +60,7 @@
 	}
 }
 
-// All callers come back at once to an upstream that is cold. In any second it may
-// get half as many again as it bears, and not a whole burst on top of a second's.
+// Guards against more openings at a cold upstream in any second than it bears.
 func TestColdUpstreamGetsNoMoreThanItBears(t *testing.T) {
 	for name, rate := range map[string]float64{"slow": 2, "one": 1, "fast": 40, "less than one": 0.5} {
 		t.Run(name, func(t *testing.T) {
@@ -93,8 +89,7 @@
 	}
 }
 
-// A balancer hears an agent's next life, and then a status of the former one that
-// was late. Clocks jump by minutes on these VMs, so no wall time may decide.
+// Guards against late statuses of an agent's former life, and against clocks that jump.
 func TestFormerLifeOfAnAgentIsNotBelieved(t *testing.T) {
 	x := newAgents()
 	hear := func(life Life, seq uint32, up, now time.Duration, s UpstreamState) {
--- a/experiment/absence_test.go
+++ b/experiment/absence_test.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// An upstream crashes and its agent lives on. Callers on its flows got no answer and
-// no word until their deadlines, one request each. All are told within the time of a
-// heartbeat, and openings go elsewhere.
+// Guards against callers of a crashed upstream that wait for their deadlines.
 func TestCrashedUpstreamEndsItsFlowsAtOnce(t *testing.T) {
 	for seed := range uint64(10) {
 		w := site(t, seed, 4, 7, 200)
@@ -21,8 +19,7 @@
 	}
 }
 
-// An upstream crashes and starts again at once, and takes flows before its agent has
-// heard of its birth. Its next announcement must not end those.
+// Guards against the end of flows that an upstream took before its agent knew of its birth.
 func TestUpstreamThatStartsAnewKeepsItsNewFlows(t *testing.T) {
 	for seed := range uint64(20) {
 		w := site(t, seed, 4, 7, 200)
--- a/experiment/cadence_test.go
+++ b/experiment/cadence_test.go
@@ -7,9 +7,7 @@
 	"pomeloway.example/pomeloway/datagram"
 )
 
-// On a fleet everybody who told everybody each 250 ms would fill a node's share
-// of control traffic, 13 kB/s, at some thirty VMs. With one balancer to six
-// agents, as in the size to design for, a quiet node must stay within it.
+// Guards against control traffic that grows with the fleet beyond a node's share.
 func TestControlTrafficStaysWithinANodesShare(t *testing.T) {
 	for name, balancers := range map[string]int{"10 and 60": 10, "25 and 150": 25, "50 and 300": 50} {
 		t.Run(name, func(t *testing.T) {
@@ -30,8 +28,7 @@
 	}
 }
 
-// An agent dies on a fleet where few balancers hear it often. All must ask others
-// first within about a second, though most hear it each 15 s.
+// Guards against balancers that hear of an agent's death only when its next word is due.
 func TestDeathIsToldToTheWholeFleet(t *testing.T) {
 	w := site(t, 1, 30, 180, 0)
 	dead := w.agentsInOrder()[7]
@@ -52,9 +49,7 @@
 	}
 }
 
-// A balancer of a fleet is started again. Most agents tell it of themselves each
-// seconds only, and until then it could neither choose among them nor say that a
-// flow is gone: callers waited 2 s longer than on a small site.
+// Guards against a restarted balancer that waits for the agents that tell it seldom.
 func TestRestartedBalancerHearsAllAgentsAtOnce(t *testing.T) {
 	w := site(t, 1, 30, 180, 0)
 	v := w.balancersInOrder()[3]
--- a/experiment/churn_test.go
+++ b/experiment/churn_test.go
@@ -52,9 +52,7 @@
 	}
 }
 
-// A balancer is restarted and its callers' flows come to it at once, before it
-// has heard of every agent. A walk that passed the holder's place before the
-// holder was heard ended with a reset: a teacher's feed was cut that lived.
+// Guards against a balancer that has just started and resets flows that live.
 func TestBalancerThatJustStartedCutsNoFlow(t *testing.T) {
 	for seed := range uint64(20) {
 		w := site(t, seed, 3, 7, 120)
@@ -70,9 +68,7 @@
 	}
 }
 
-// Every VM loses power. Upstreams start anew and hold nothing; each open flow
-// waited for its deadline, and boards stayed empty for seconds after everything
-// was back. Callers must be told at once, and only of flows that are gone.
+// Guards against callers that wait for their deadlines after a loss of power.
 func TestPowerLossEndsFlowsAtOnce(t *testing.T) {
 	for seed := range uint64(10) {
 		w := site(t, seed, 4, 7, 200)
@@ -89,9 +85,7 @@
 	}
 }
 
-// Agents are restarted one after another under open feeds: each comes back with
-// no memory, and only its upstream knows the flows. No feed may be cut and none
-// led to another upstream for good.
+// Guards against open flows that are cut or led astray when their agents are restarted.
 func TestAgentsRestartUnderOpenFlows(t *testing.T) {
 	for seed := range uint64(10) {
 		w := site(t, seed, 3, 7, 150)
@@ -109,10 +103,8 @@
 	}
 }
 
-// Balancers die and are born every half second while an agent is silent, so that
-// nearly every packet is looked for. A walk that ended at the silent agent kept
-// packets from their own upstreams for seconds.
-func TestWalksPassSilentAgents(t *testing.T) {
+// Guards against lookups that end at an agent that is silent.
+func TestLookupsPassSilentAgents(t *testing.T) {
 	for seed := range uint64(10) {
 		w := site(t, seed, 4, 7, 150)
 		n := 10
@@ -134,8 +126,7 @@
 	}
 }
 
-// Upstreams are told to drain and leave; from three seconds after the
-// acknowledgement no opening may reach them, whatever balancers still believe.
+// Guards against openings at upstreams that drain, whatever balancers still believe.
 func TestDrainingUpstreamsGetNoOpenings(t *testing.T) {
 	for seed := range uint64(5) {
 		w := site(t, seed, 3, 7, 150)
@@ -155,9 +146,7 @@
 	}
 }
 
-// An availability zone goes out while balancers hear of it one after another and
-// one is cut off from the store. Its upstreams get no opening from five seconds
-// on, and others' flows go on.
+// Guards against openings in a zone that is out, and against the end of others' flows.
 func TestZoneOutStopsOpenings(t *testing.T) {
 	for seed := range uint64(5) {
 		w := site(t, seed, 3, 9, 150)
@@ -180,7 +169,7 @@
 	}
 }
 
-// A hundredth of all datagrams is lost, and a balancer is killed each second.
+// Guards against flows that break by lost datagrams and the deaths of balancers.
 func TestLossAndDeathsBreakNothing(t *testing.T) {
 	for seed := range uint64(10) {
 		w := site(t, seed, 4, 7, 150)
@@ -198,8 +187,7 @@
 	}
 }
 
-// An upstream's VM dies for good and its record stays. Every opening that ranked
-// it first waited for the caller's copy, 200 ms, until somebody removed it.
+// Guards against openings that wait for a dead VM until its record is removed.
 func TestDeadAgentCostsOneOpeningEach(t *testing.T) {
 	w := site(t, 3, 4, 7, 200)
 	for _, v := range w.agentsInOrder() {
--- a/experiment/cutoff_test.go
+++ b/experiment/cutoff_test.go
@@ -7,9 +7,7 @@
 	"pomeloway.example/pomeloway/datagram"
 )
 
-// Two balancers are cut off from all VMs but each other; callers and routers reach
-// them still. They went on saying that they were ready, and what callers sent there
-// was lost until the cut healed. From the second second on they are served elsewhere.
+// Guards against callers of a balancer that is cut off from the fleet and goes on serving.
 func TestBalancerThatIsCutOffLeaves(t *testing.T) {
 	for seed := range uint64(5) {
 		w := site(t, seed, 6, 7, 200)
@@ -30,9 +28,7 @@
 	}
 }
 
-// All VMs of a service's upstreams lose power at once, and no balancer is cut off.
-// Openings wait for them: refused at once, callers would spend their retries in some
-// milliseconds, and fail, though the service is back in a second.
+// Guards against openings that are refused while the VMs of their service return.
 func TestServiceThatDiedIsNoCut(t *testing.T) {
 	w := site(t, 1, 4, 3, 60)
 	for _, v := range w.agentsInOrder() {
@@ -47,9 +43,8 @@
 	}
 }
 
-// Routers take a second and more to believe that a balancer is not ready. An opening
-// that comes to one that is cut off is refused at once, so that its caller can try
-// another, but only if no agent was given it: what one may have taken is left alone.
+// Guards against openings that wait at a balancer that is cut off, and against the refusal
+// of one that an agent may have taken.
 func TestBalancerThatIsCutOffRefusesOpenings(t *testing.T) {
 	for name, x := range map[string]struct {
 		before bool // the opening came first when the balancer was not cut off
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -25,8 +25,7 @@
 	return Options{Balancers: 4, Agents: 7, Zones: 3, Callers: 100, Length: 12 * time.Second, Seed: 3, Days: 1}
 }
 
-// On a site on which few balancers are near an agent, agents were listed in the order of
-// a map, and the same seed gave 11,514 requests in one run and 11,529 in another.
+// Guards against days that differ with the same seed where few balancers are near an agent.
 func TestDayOfALargerSiteIsTheSameWithTheSameSeed(t *testing.T) {
 	o := testOptions()
 	o.Balancers, o.Agents, o.Callers = 10, 20, 300
@@ -48,7 +47,7 @@
 	}
 }
 
-// A figure that another run does not repeat compares nothing.
+// Guards against days that differ with the same seed.
 func TestDayIsTheSameWithTheSameSeed(t *testing.T) {
 	o := testOptions()
 	fs, err := parseScript(strings.NewReader(testScript), o.Zones)
@@ -79,7 +78,7 @@
 	}
 }
 
-// Whoever writes a script wrongly is told all that is wrong, with the lines.
+// Guards against findings in a script that are not told, or without their lines.
 func TestScriptFindings(t *testing.T) {
 	for name, x := range map[string]struct{ text, want string }{
 		"no fault":     {"1s powr 1s", `line 1: "powr" is no fault`},
--- a/experiment/load_test.go
+++ b/experiment/load_test.go
@@ -7,12 +7,10 @@
 	"pomeloway.example/pomeloway/datagram"
 )
 
-// All VMs return from a loss of power within 0.3 s of each other, upstreams are
-// slow for 2 s, and callers open all at once. Upstreams that were heard first got
-// three times their share, so requests waited there while others idled.
+// Guards against upstreams that get several times their share when all callers return.
 //
-// Counted are requests that began in the second after the return, those answered
-// inside their aim of 150 ms, and those that upstreams shed, over ten seeds.
+// Counted are requests that began in the second after the return, those answered inside
+// their aim, and those that upstreams shed.
 func TestReturnOfAllCallersIsSpread(t *testing.T) {
 	type outcome struct{ begun, inAim, shed int }
 	play := func(p datagram.Placement, busyAt float64) (o outcome) {
@@ -45,8 +43,7 @@
 	}
 }
 
-// Long feeds stay where they were opened, so a bad choice lasts. The busiest
-// upstream may have 1.2 times the mean.
+// Guards against long feeds that gather at few upstreams.
 func TestFeedsAreSpread(t *testing.T) {
 	for seed := range uint64(5) {
 		w := site(t, seed, 4, 7, 0)
--- a/experiment/search_test.go
+++ b/experiment/stranded_test.go
@@ -7,11 +7,8 @@
 	"pomeloway.example/pomeloway/datagram"
 )
 
-// An upstream was taken away and its VM stayed. Then all processes were killed:
-// the agent there came back beside no upstream, gave it packets that balancers
-// were looking a place for, and none came back. Half of all boards stayed empty
-// until their callers' deadlines, though their upstreams lived.
-func TestAgentWithoutUpstreamHoldsUpNoWalk(t *testing.T) {
+// Guards against packets that an agent beside no upstream swallows.
+func TestAgentWithoutUpstreamHoldsUpNoLookup(t *testing.T) {
 	for seed := range uint64(10) {
 		w := site(t, seed, 4, 9, 200)
 		for _, v := range w.agentsInOrder()[:2] {
@@ -28,10 +25,8 @@
 	}
 }
 
-// Balancers have lost their memory when an upstream's VM dies. For most of a
-// second they take its agent for alive, and each walk that came to it ended
-// there, with every retransmission, while the flow lived further down.
-func TestDeadAgentHoldsUpNoWalk(t *testing.T) {
+// Guards against lookups that end at an agent that has just died.
+func TestDeadAgentHoldsUpNoLookup(t *testing.T) {
 	for seed := range uint64(10) {
 		w := site(t, seed, 4, 7, 300)
 		for _, v := range w.balancersInOrder() {
@@ -51,9 +46,7 @@
 	}
 }
 
-// An agent greets balancers as its VM starts, and the VM is taken away 0.3 s later.
-// Balancers held it for alive for 4 s, as long as one that tells them seldom, and
-// sent it openings and walks.
+// Guards against an agent that dies just after its greeting and is held for alive.
 func TestAgentThatDiesAfterItsGreetingIsDoubted(t *testing.T) {
 	w := site(t, 1, 12, 20, 0)
 	v := w.addAgent(30, "zone-1")
@@ -69,10 +62,7 @@
 	}
 }
 
-// A VM dies for good with its upstream, and balancers remember its flows: they sent
-// packets there and nowhere else, and each caller waited for its deadline, here 3 s as
-// at the ordering desk. Callers are told once nobody can hold the flow, and are served
-// elsewhere before that.
+// Guards against callers that wait for a VM that died while balancers remember its flows.
 func TestRememberedFlowsOfADeadVMEndInTime(t *testing.T) {
 	for seed := range uint64(10) {
 		w := site(t, seed, 4, 7, 200)
@@ -91,8 +81,7 @@
 	}
 }
 
-// Packets pass one way only, so a balancer does not hear an agent whose flows work.
-// None of them may be cut, however long that lasts.
+// Guards against the end of flows whose agent is not heard and serves.
 func TestFlowsOfAnAgentThatIsNotHeardGoOn(t *testing.T) {
 	for seed := range uint64(5) {
 		w := site(t, seed, 4, 7, 150)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -51,9 +51,7 @@
 	d.Platform.ServeHTTP(w, r)
 }
 
-// A zone is taken out while the store drops its history: the watch that waits
-// hears nothing, and without a bound on its wait the balancer went on sending to
-// the zone for 15 s.
+// Guards against a change that a watch misses, as the store drops its history.
 func TestFollowFindsAChangeThatItsWatchMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &deaf{Platform: &standin.Platform{}}
@@ -91,8 +89,7 @@
 	})
 }
 
-// The store is down for ten minutes. Each process's calls must stay few, as each
-// is paid for and all come back together.
+// Guards against many calls to a store that is down.
 func TestFollowIsPatientWithAStoreThatIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &standin.Platform{}
@@ -113,8 +110,7 @@
 	})
 }
 
-// The answer to the first write is lost, and the VM before had another service
-// at the address. The record must be this process's in the end, by few writes.
+// Guards against the record of an earlier VM that stays, and against many writes.
 func TestRecordIsPutWhateverWasThere(t *testing.T) {
 	mine := platform.Process{Address: "10.0.0.1", Role: platform.RoleAgent, Zone: "a", Service: "letters"}
 	other := mine
@@ -156,8 +152,7 @@
 	}
 }
 
-// A view names every member and route. Who lacks the fleet's key gets none, and
-// can't give one.
+// Guards against views that are given to strangers, or taken from them.
 func TestViewsStayInTheFleet(t *testing.T) {
 	key, stranger := []byte("of the fleet"), []byte("of another")
 	want := View{EvacuationsAt: 9}
@@ -193,8 +188,7 @@
 address = "127.0.0.1:8169"
 `
 
-// An operator writes a settings file with a mistake in it. The process must keep
-// the settings that it has, and take the next good ones.
+// Guards against settings with a mistake that are taken, or that keep the next from being.
 func TestBadSettingsChangeNothing(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "node.toml")
 	write := func(text string) {
@@ -245,9 +239,7 @@
 	}
 }
 
-// All VMs lose power while the store is silent. It comes back a second after they
-// do; calls that were made before get no answer for good. Balancers had no
-// configuration until their first calls timed out, 1.5 s, and served nobody.
+// Guards against first reads that wait for answers which a silent store never gives.
 func TestSilentStoreIsReadSoonAfterItsReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &standin.Platform{}
@@ -283,8 +275,7 @@
 	})
 }
 
-// The loop asks what is due after every packet. It worked out there which balancers
-// watch the store, with a list and a sort for each packet.
+// Guards against allocations after each packet.
 func TestTickAfterAPacketDoesNotAllocate(t *testing.T) {
 	b := &Balancer{store: &store{}, balancer: &datagram.Balancer{Self: 1}}
 	b.balancer.Start()
--- a/node/offer_test.go
+++ b/node/offer_test.go
@@ -9,10 +9,8 @@
 	"pomeloway.example/pomeloway/platform"
 )
 
-// The store returns after all VMs had lost power, and the first balancer reads it.
-// The others knew that it had a configuration, and asked whoever was next in their
-// rounds, 0.3 s apart: callers of six balancers of seven waited for that. Here the
-// other balancer can reach neither store nor seeds, so that only the offer is left.
+// Guards against balancers without a configuration that wait for their rounds while one has
+// it. The second balancer can reach neither store nor seeds, so that only the offer is left.
 func TestFirstConfigurationIsPassedOn(t *testing.T) {
 	s := newSite(t)
 	first, err := NewBalancer(s.options(balancerIP), nil)
@@ -43,9 +41,7 @@
 	s.eventually("configuration of the other balancer", func() bool { return configured(second) == 3 })
 }
 
-// A balancer missed a change of the configuration, as its watch heard nothing, and the
-// others told it every 250 ms of theirs. Each word began its wait for the next round
-// anew, so it never asked one of them, and served by the old version for seconds.
+// Guards against rounds that never come, as each word of others begins the wait anew.
 func TestWordsOfOthersDoNotHoldUpARound(t *testing.T) {
 	s := newSite(t)
 	first, err := NewBalancer(s.options(balancerIP), nil)
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -165,8 +165,7 @@
 	return b
 }
 
-// A caller's flow goes through real programs and sockets: opened by its upstream,
-// answered straight, and still there after the balancer was started again.
+// Guards against real programs that lose a flow when the balancer is started again.
 func TestFlowThroughRealPrograms(t *testing.T) {
 	s := newSite(t)
 	newBalancer := func() func() {
