--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -186,6 +186,9 @@
 	if c.at == 0 || now-c.at >= coverageFor {
 		*c = coverage{at: now, unsure: c.unsure[:0], sets: c.sets[:0]}
 		c.ok = b.settled && !b.lonely(now) && (d.dropped == 0 || now-d.dropped > 2*directoryTurn) && b.cover(c, now)
+		if !c.ok {
+			c.unsure = c.unsure[:0] // of some agents only, which helps nobody
+		}
 	}
 	return c
 }
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -101,9 +101,9 @@
 }
 
 func TestOptionsNameWhatIsWrong(t *testing.T) {
-	o := Options{Policy: []Policy{"odd"}, Small: 1, Cores: -1, Link: -1}
+	o := Options{Policy: []Policy{"odd"}, Small: 1, Cores: -1, Link: -1, Draw: -1}
 	err := o.Validate()
-	for _, f := range []string{"--balancers", "--small", "--cores", "--link", "--agents", "--zones", "--length", "--days", "--policy"} {
+	for _, f := range []string{"--balancers", "--small", "--cores", "--link", "--agents", "--zones", "--draw", "--length", "--days", "--policy"} {
 		if err == nil || !strings.Contains(err.Error(), f) {
 			t.Errorf("%v does not name %s", err, f)
 		}
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -13,9 +13,17 @@
 		w.after(d+time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), v.start)
 	}
 	for _, v := range w.agentsInOrder() {
+		if v.lost {
+			continue
+		}
 		v.stop()
 		v.u.crash()
-		w.after(d+time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() { v.u.start(); v.start() })
+		w.after(d+time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() {
+			if !v.u.alive {
+				v.u.start()
+			}
+			v.start()
+		})
 	}
 }
 
@@ -26,6 +34,19 @@
 		w.after(d, v.start)
 	}
 	for _, v := range w.agentsInOrder() {
+		if v.lost {
+			continue
+		}
+		v.stop()
+		w.after(d, v.start)
+	}
+}
+
+// restart ends n balancers, of different places in the order of addresses, for d.
+func (w *world) restart(n int, d time.Duration) {
+	vs := w.balancersInOrder()
+	for i := range min(n, len(vs)) {
+		v := vs[i*len(vs)/min(n, len(vs))]
 		v.stop()
 		w.after(d, v.start)
 	}
@@ -47,6 +68,7 @@
 
 // lose takes the VM away for good.
 func (v *agentVM) lose() {
+	v.lost = true
 	v.stop()
 	v.u.crash()
 }
--- a/experiment/options.go
+++ b/experiment/options.go
@@ -21,6 +21,7 @@
 	Zones     int           `help:"Availability zones that they are spread over." default:"3" group:"Site"`
 	Callers   int           `help:"Callers with a request a second each; 0 for 40 an upstream." group:"Site"`
 	Script    string        `help:"File with the day's faults, a line each; see docs/DEVELOPERS.md." type:"existingfile" placeholder:"FILE" group:"Day"`
+	Draw      int           `help:"Faults drawn at random for each day by its seed, in place of a script." placeholder:"N" group:"Day"`
 	Length    time.Duration `help:"How long the day is." default:"30s" group:"Day"`
 	Seed      uint64        `help:"Seed of the first day." default:"1" group:"Day"`
 	Days      int           `help:"Days for each policy, each with the next seed." default:"1" group:"Day"`
@@ -78,6 +79,8 @@
 	f.Want(o.Agents > 0 && o.Agents <= mostVMs, "--agents", "must be 1 to 4000")
 	f.Want(o.Zones > 0 && o.Zones <= o.Agents, "--zones", "must be 1 or more, and no more than agents")
 	f.Want(o.Callers >= 0 && o.Callers <= mostCallers, "--callers", "must be 0 to 200000")
+	f.Want(o.Draw >= 0, "--draw", "must be 0 or more")
+	f.Want(o.Draw == 0 || o.Script == "", "--draw", "can't be used together with --script")
 	f.Want(o.Length >= time.Second && o.Length <= mostLength, "--length", "must be 1s to 10m")
 	f.Want(o.Days > 0, "--days", "must be 1 or more")
 	for _, p := range o.Policy {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -51,6 +52,8 @@
 	// second, the most and on average, with their IP and UDP headers.
 	ControlMost int `json:"controlMost"`
 	ControlMean int `json:"controlMean"`
+	// Script is the faults that were drawn; of a day with breaches those that are needed.
+	Script []string `json:"script,omitempty"`
 	// Breaches are promises that were broken, with the time since the site's start.
 	Breaches []string `json:"breaches,omitempty"`
 }
@@ -76,7 +79,7 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			d, err := o.play(p, o.Seed+uint64(i), fs)
+			d, err := o.day(p, o.Seed+uint64(i), fs)
 			if err != nil {
 				return err
 			}
@@ -95,6 +98,14 @@
 	return r.broken()
 }
 
+// day plays a day of the script, or of drawn faults.
+func (o *Options) day(p Policy, seed uint64, fs []fault) (Day, error) {
+	if o.Draw > 0 {
+		return o.playDrawn(p, seed)
+	}
+	return o.play(p, seed, fs)
+}
+
 func (o *Options) script() ([]fault, error) {
 	if o.Script == "" {
 		return nil, nil
@@ -206,10 +217,18 @@
 	return os.WriteFile(file, b, 0o644)
 }
 
+// faults returns the drawn faults as the end of a message.
+func (d *Day) faults() string {
+	if len(d.Script) == 0 {
+		return ""
+	}
+	return "; faults: " + strings.Join(d.Script, "; ")
+}
+
 func (r *Report) broken() error {
 	for _, d := range r.Days {
 		if len(d.Breaches) > 0 {
-			return eris.Wrapf(ErrBroken, "seed %d: %s", d.Seed, d.Breaches[0])
+			return eris.Wrapf(ErrBroken, "seed %d: %s%s", d.Seed, d.Breaches[0], d.faults())
 		}
 	}
 	return nil
--- a/experiment/script.go
+++ b/experiment/script.go
@@ -24,6 +24,7 @@
 //
 //	AT power FOR        every VM loses power for so long; upstreams hold nothing then
 //	AT kill FOR         every process ends for so long; upstreams live on
+//	AT restart N FOR    N balancers end and are back after so long
 //	AT lose N           N upstreams' VMs are lost for good
 //	AT crash N          N upstreams end, their agents live
 //	AT drain N          N upstreams begin to leave
@@ -35,6 +36,10 @@
 var verbs = map[string]func(*args) func(*world){
 	"power": func(a *args) func(*world) { d := a.duration(); return func(w *world) { w.powerLoss(d) } },
 	"kill":  func(a *args) func(*world) { d := a.duration(); return func(w *world) { w.killAll(d) } },
+	"restart": func(a *args) func(*world) {
+		n, d := a.count(), a.duration()
+		return func(w *world) { w.restart(n, d) }
+	},
 	"lose":  func(a *args) func(*world) { n := a.count(); return func(w *world) { w.each(n, (*agentVM).lose) } },
 	"crash": func(a *args) func(*world) { n := a.count(); return func(w *world) { w.each(n, (*agentVM).crash) } },
 	"drain": func(a *args) func(*world) { n := a.count(); return func(w *world) { w.each(n, (*agentVM).drain) } },
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -289,6 +289,9 @@
 }
 
 func (v *balancerVM) start() {
+	if v.up {
+		return // two faults at once end it, and it is back after the first
+	}
 	w := v.w
 	v.begin()
 	v.up, v.since, v.due = true, w.now, 0
@@ -334,6 +337,7 @@
 	a       *datagram.Agent
 	u       *upstream
 	up      bool
+	lost    bool // the VM is gone for good
 	since   time.Duration
 	life    int
 }
@@ -358,6 +362,9 @@
 }
 
 func (v *agentVM) start() {
+	if v.up {
+		return
+	}
 	w := v.w
 	v.up, v.since, v.life = true, w.now, v.life+1
 	v.a = &datagram.Agent{Life: w.newLife(), Service: v.service, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.Packets{}, Out: v, Keys: w.keys, BusyAt: w.busyAt}
