Say in a note when no warning was given

Cause: reading the change as a newcomer: a note on work beyond the slots told the longest duration there is where no warning had been given, and draw.go began with a saying. Change: both. Measured: go test ./standin passes.

--- a/experiment/draw.go
+++ b/experiment/draw.go
@@ -9,9 +9,8 @@
 	"time"
 )
 
-// Days of one's own choice find what one thinks of. Drawn ones have any faults at any
-// time, twice or at once too, and a day that breaks a promise is played again with fewer
-// faults until each of those left is needed for it.
+// Drawn days have any faults at any time, twice or at once too. One that breaks a promise
+// is played again with fewer faults until each of those left is needed for it.
 
 // drawSalt keeps the faults apart from the rest of a day with the same seed.
 const drawSalt = 0x64726177
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -173,8 +173,8 @@
 		under = append(under, fmt.Sprintf("%s %v broken %t turn %d", p.path, time.Since(p.began).Round(time.Millisecond), p.ctx.Err() != nil, p.turn))
 	}
 	slices.Sort(under)
-	u.over = append(u.over, fmt.Sprintf("beyond %s: upstream %s bears %d, turn %d, %d answers, told %v ago, under way: %s",
-		beyond, u.Name, u.bears, u.turns, u.answers, time.Since(u.warning.given).Round(time.Millisecond), strings.Join(under, "; ")))
+	u.over = append(u.over, fmt.Sprintf("beyond %s: upstream %s bears %d, turn %d, %d answers, %s, under way: %s",
+		beyond, u.Name, u.bears, u.turns, u.answers, u.warning.ago(), strings.Join(under, "; ")))
 }
 
 // Over returns notes on the work beyond what it bears.
--- a/standin/warning.go
+++ b/standin/warning.go
@@ -7,6 +7,7 @@
 package standin
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -97,6 +98,14 @@
 	return w.count >= enoughUsual && d >= slowFactor*sum/enoughUsual
 }
 
+// ago returns how long ago the warning was given, for notes.
+func (w *warning) ago() string {
+	if w.given.IsZero() {
+		return "not warned"
+	}
+	return fmt.Sprintf("warned %v ago", time.Since(w.given).Round(time.Millisecond))
+}
+
 // warned reports whether a request was sent by a client that knew.
 func (w *warning) warned(sent time.Time) bool {
 	return !w.given.IsZero() && sent.Sub(w.given) > reaction
