Choose VMs that are spread in one place, and name a datagram's way

Cause: reading the whole change: the emulator's restart and each chose VMs by the same arithmetic, killAll restarted balancers by a loop of its own, a comment told the bounds of a datagram's way that stood as literals below it, and two comments read oddly.

Change: spread, killAll by restart, wayLeast and wayMore, two comments. No behaviour.

--- a/agent/options.go
+++ b/agent/options.go
@@ -28,7 +28,7 @@
 
 	// TLS takes the place of the certificate files in trials.
 	TLS *tls.Config `kong:"-"`
-	// Wrap goes around the way to the upstream in trials.
+	// Wrap wraps the transport to the upstream in trials.
 	Wrap func(http.RoundTripper) http.RoundTripper `kong:"-"`
 }
 
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -29,10 +29,7 @@
 
 // killAll ends every process; upstreams live on, and processes are back after d.
 func (w *world) killAll(d time.Duration) {
-	for _, v := range w.balancersInOrder() {
-		v.stop()
-		w.after(d, v.start)
-	}
+	w.restart(len(w.balancers), d)
 	for _, v := range w.agentsInOrder() {
 		if v.lost {
 			continue
@@ -44,9 +41,7 @@
 
 // restart ends n balancers, of different places in the order of addresses, for d.
 func (w *world) restart(n int, d time.Duration) {
-	vs := w.balancersInOrder()
-	for i := range min(n, len(vs)) {
-		v := vs[i*len(vs)/min(n, len(vs))]
+	for _, v := range spread(w.balancersInOrder(), n) {
 		v.stop()
 		w.after(d, v.start)
 	}
@@ -61,9 +56,19 @@
 			live = append(live, v)
 		}
 	}
-	for i := range min(n, len(live)) {
-		do(live[i*len(live)/min(n, len(live))])
+	for _, v := range spread(live, n) {
+		do(v)
+	}
+}
+
+// spread returns n of the VMs, or all, as far from each other in their order as they can be.
+func spread[V any](vs []V, n int) []V {
+	n = min(n, len(vs))
+	out := make([]V, 0, n)
+	for i := range n {
+		out = append(out, vs[i*len(vs)/n])
 	}
+	return out
 }
 
 // lose takes the VM away for good.
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -174,7 +174,13 @@
 	return fleet.Mix(fleet.Mix(w.seed, uint64(from)<<32|uint64(to)), fleet.Mix(uint64(w.now), uint64(len(b))))
 }
 
-// deliver hands over a datagram after 0.2 to 1.6 ms, its way between two VMs.
+// wayLeast and wayMore bound the way of a datagram between two VMs.
+const (
+	wayLeast = 200 * time.Microsecond
+	wayMore  = 1400 * time.Microsecond
+)
+
+// deliver hands over a datagram after its way between two VMs.
 func (w *world) deliver(from, to datagram.IP, b []byte, f func([]byte)) {
 	x := w.chance(from, to, b)
 	if float64(x%10_000) < w.loss*10_000 {
@@ -183,7 +189,7 @@
 	c := append([]byte(nil), b...)
 	// Many datagrams arrive at one microsecond; their order is not that of sending,
 	// which follows maps.
-	w.afterAs(200*time.Microsecond+time.Duration(x>>32%1400)*time.Microsecond, x, func() { f(c) })
+	w.afterAs(wayLeast+time.Duration(x>>32%uint64(wayMore/time.Microsecond))*time.Microsecond, x, func() { f(c) })
 }
 
 func (w *world) breach(what string) { w.breaches = append(w.breaches, w.now.String()+": "+what) }
--- a/standin/warning.go
+++ b/standin/warning.go
@@ -1,8 +1,8 @@
 // This file judges whether an upstream's client could know that the upstream had turned
 // cold without warning: it must have got a shed answer, or several in a row that were
 // much slower than those before. Slowness is taken as the client sees it, since on a
-// busy machine much of it isn't the upstream's. Given up: turns of an upstream that was
-// cold already; only a shed answer tells of them.
+// busy machine much of it isn't the upstream's. Of turns of an upstream that was cold
+// already only a shed answer tells.
 
 package standin
 
