Log when a doubt ends, how old the last status is, and who is near an agent

Cause: a doubt of an agent that lives could not be told from one of a dead agent in the logs: its end was not written, nor the age of the last status, nor when the next was promised, nor to whom an agent sends often. Change: 3101 has age, every, and doubt lifted; 3106 says how many balancers are near an agent, of how many, in a fleet of how many agents. No decision changes.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -66,7 +66,8 @@
 	last       uint32
 	sequence   uint32
 	status     time.Duration
-	agents     int // of the fleet, as balancers say
+	agents     int    // of the fleet, as balancers say
+	near       uint64 // the digest of the balancers that are told often
 	scratch    [2048]byte
 }
 
@@ -289,6 +290,10 @@
 func (a *Agent) tellThose(now, near, far time.Duration) {
 	a.status = now
 	close := nearest(uint64(a.Life), slices.Collect(maps.Keys(a.balancers)), nearCount(a.agents, len(a.balancers)))
+	if d := digestOf(close); d != a.near {
+		a.near = d
+		a.Log.nearChanged(len(close), len(a.balancers), a.agents)
+	}
 	for ip, b := range a.balancers {
 		after, every := far, farEvery(a.agents)
 		if contains(close, ip) {
--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -54,6 +54,12 @@
 	return born, changed
 }
 
+// doubts reports whether the agent is known and doubted.
+func (x *agents) doubts(ip IP) bool {
+	a := x.byIP[ip]
+	return a != nil && a.told != 0
+}
+
 func (x *agents) add(ip IP, now time.Duration) *agentView {
 	a := &agentView{ip: ip, key: fleet.Mix(uint64(ip), 0), noted: now}
 	x.byIP[ip] = a
--- a/datagram/homes.go
+++ b/datagram/homes.go
@@ -23,11 +23,17 @@
 
 func newHomeSet(ips []IP) homeSet {
 	slices.Sort(ips)
-	s := homeSet{ips: slices.Compact(ips)}
-	for _, ip := range s.ips {
-		s.digest ^= fleet.Mix(uint64(ip), homesSalt)
+	ips = slices.Compact(ips)
+	return homeSet{ips, digestOf(ips)}
+}
+
+// digestOf returns a digest of the set of addresses, in whatever order they are.
+func digestOf(ips []IP) uint64 {
+	d := uint64(0)
+	for _, ip := range ips {
+		d ^= fleet.Mix(uint64(ip), homesSalt)
 	}
-	return s
+	return d
 }
 
 // homesSalt keeps the digest apart from the ranks of addresses.
--- a/datagram/log.go
+++ b/datagram/log.go
@@ -59,13 +59,25 @@
 	return netip.AddrPortFrom(ip.Addr(), 0)
 }
 
-// agentChanged logs what a balancer believes of an agent, with the doubt if any.
-func (l *Log) agentChanged(ip IP, s *AgentStatus, doubt string) {
+// agentChanged logs what a balancer believes of an agent, with the doubt if any, how old
+// its last status is and how often it said that it sends one.
+func (l *Log) agentChanged(a *agentView, doubt string, now time.Duration) {
 	if l == nil || l.Log == nil {
 		return
 	}
-	l.Log.Add(events.AgentChanged, slog.String("doubt", doubt), slog.String("agent", ip.String()), slog.String("state", s.State.String()),
-		slog.Bool("leaving", s.Leaving), slog.Duration("cold", s.Cold.Duration()), slog.Uint64("life", uint64(s.Life)))
+	s := &a.status
+	l.Log.Add(events.AgentChanged, slog.String("doubt", doubt), slog.String("agent", a.ip.String()), slog.String("state", s.State.String()),
+		slog.Bool("leaving", s.Leaving), slog.Duration("cold", s.Cold.Duration()), slog.Uint64("life", uint64(s.Life)),
+		slog.Duration("age", now-a.heard), slog.Duration("every", s.Every.Duration()))
+}
+
+// nearChanged logs to how many balancers an agent sends its status often, of how many, in
+// a fleet of so many agents.
+func (l *Log) nearChanged(near, balancers, agents int) {
+	if l == nil || l.Log == nil {
+		return
+	}
+	l.Log.Add(events.NearChanged, slog.Int("near", near), slog.Int("balancers", balancers), slog.Int("agents", agents))
 }
 
 // entriesMissing logs that an agent is asked for its flows again.
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -76,9 +76,13 @@
 		b.Count.BadMessages++
 		return
 	}
+	doubted := b.agents.doubts(from)
 	born, changed := b.agents.hear(from, s, now)
-	if changed {
-		b.Log.agentChanged(from, &s, "")
+	switch a := b.agents.byIP[from]; {
+	case doubted && a.told == 0:
+		b.Log.agentChanged(a, "lifted", now)
+	case changed:
+		b.Log.agentChanged(a, "", now)
 	}
 	if a := b.agents.byIP[from]; born && (s.Epoch == 0 || a.toldStatus == 0) {
 		b.tellOne(from, now) // it has not heard this balancer
@@ -204,7 +208,7 @@
 		return
 	}
 	a.told = now
-	b.Log.agentChanged(a.ip, &a.status, "told silent")
+	b.Log.agentChanged(a, "told silent", now)
 }
 
 const silentLen = 4 + 8
@@ -217,7 +221,7 @@
 			continue
 		}
 		a.told = now
-		b.Log.agentChanged(a.ip, &a.status, "silent")
+		b.Log.agentChanged(a, "silent", now)
 		m := b.scratch[:HeaderLen+silentLen]
 		binary.BigEndian.PutUint32(m[HeaderLen:], uint32(a.ip))
 		binary.BigEndian.PutUint64(m[HeaderLen+4:], uint64(a.status.Life))
--- a/events/events.go
+++ b/events/events.go
@@ -36,6 +36,7 @@
 	RecordRemoved   ID = 3103
 	RecordKept      ID = 3104
 	EntriesMissing  ID = 3105
+	NearChanged     ID = 3106
 	RequestPlaced   ID = 2001
 	RequestPassed   ID = 2002
 	RequestRefused  ID = 2003
@@ -105,6 +106,7 @@
 	{RecordRemoved, "dead member's record removed", slog.LevelWarn},
 	{RecordKept, "dead member's record not removed", slog.LevelInfo},
 	{EntriesMissing, "agent asked for its flows again", slog.LevelInfo},
+	{NearChanged, "near balancers changed", slog.LevelInfo},
 	{AnnouncementRefused, "upstream's announcement refused", slog.LevelWarn},
 	{RequestPlaced, "request placed", slog.LevelInfo},
 	{RequestPassed, "request passed on", slog.LevelInfo},
