Send an agent's next status when the receiver expects it

What callers saw: open flows reset by balancers that had been added 4 s before, while their upstreams served. Cause: an agent sends its status often to some balancers near it and seldom to the others, and says which. When balancers are added or a balancer that has just started tells a small fleet, others become near; those that were are not told, expect a status within 0.5 s, get it up to 3.4 s later, and have the whole fleet doubt the agent meanwhile. 2.5 s later the doubt is taken for a proof. The greeting had a case of its own for this. Change: the agent keeps for each balancer within what it promised its next status, and sends it by then, whoever is near; the case of greetings is now the same rule.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -81,7 +81,8 @@
 type balancerView struct {
 	life        Life
 	heard, told time.Duration
-	greeted     bool // it was told last by a greeting
+	// promised is the interval after which it expects the next status.
+	promised time.Duration
 	// entries are flows that it was told of in this epoch.
 	epoch, entries uint32
 }
@@ -130,7 +131,7 @@
 // within greetEvery, and by then how often it will be told from there on.
 func (a *Agent) greet(ip IP, now time.Duration) {
 	b := a.balancers[ip]
-	b.told, b.greeted = now, true
+	b.told, b.promised = now, LargeEvery
 	a.Out.ToProcess(ip, a.statusMessage(b, now, greetEvery, true))
 }
 
@@ -286,7 +287,8 @@
 func (a *Agent) tell(now time.Duration) { a.tellThose(now, 0, 0) }
 
 // tellThose sends it to the balancers that are near or far and were told last so
-// long ago.
+// long ago, and to those that expect it: one that is no longer near would take the agent
+// for silent until the next status of those that are far.
 func (a *Agent) tellThose(now, near, far time.Duration) {
 	a.status = now
 	close := nearest(uint64(a.Life), slices.Collect(maps.Keys(a.balancers)), nearCount(a.agents, len(a.balancers)))
@@ -302,8 +304,8 @@
 		if b.life == 0 {
 			after = min(after, StatusEvery) // it has not answered, or not started yet
 		}
-		if now-b.told >= after || b.greeted && now-b.told >= LargeEvery {
-			b.told, b.greeted = now, false
+		if now-b.told >= min(after, b.promised) {
+			b.told, b.promised = now, every
 			a.Out.ToProcess(ip, a.statusMessage(b, now, every, len(a.former) > 0))
 		}
 	}
