Take the fleet's size from the balancer that knows most of it

Cause: an agent took the fleet's size from whichever balancer spoke last. One that has just started and waits for the store knows the few agents that it has heard, so each that hears it takes all balancers for near and sends its status often to the whole fleet, until the next balancer speaks. Change: the size is the largest that any known balancer tells. Measured: TestBalancerThatKnowsFewAgentsMakesNoFleetSmall: 22 balancers expect statuses often, before it was 3; passes after.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -83,6 +83,7 @@
 	heard, told time.Duration
 	// promised is the interval after which it expects the next status.
 	promised time.Duration
+	agents   int // how many it knows
 	// entries are flows that it was told of in this epoch.
 	epoch, entries uint32
 }
@@ -218,7 +219,8 @@
 			a.homesDue = now + homesGather // it is greeted with the set of which it is then one
 		}
 	}
-	a.agents = int(s.Agents)
+	b.agents = int(s.Agents)
+	a.agents = max(a.agents, b.agents)
 	for _, ip := range s.Balancers {
 		a.Meet(ip, now)
 	}
@@ -264,6 +266,7 @@
 		a.tell(now)
 	}
 	if now-a.status >= StatusEvery {
+		a.countAgents()
 		a.tellThose(now, nearEvery(a.agents, len(a.balancers)), farEvery(a.agents))
 		after := max(forgottenAfter, silentStatuses*farEvery(len(a.balancers)))
 		for ip, b := range a.balancers {
@@ -283,6 +286,14 @@
 	return at
 }
 
+// countAgents works out the size of the fleet: balancers that have just started know less.
+func (a *Agent) countAgents() {
+	a.agents = 0
+	for _, b := range a.balancers {
+		a.agents = max(a.agents, b.agents)
+	}
+}
+
 // tell sends the agent's status to all balancers, as something changed.
 func (a *Agent) tell(now time.Duration) { a.tellThose(now, 0, 0) }
 
--- a/datagram/silence_test.go
+++ b/datagram/silence_test.go
@@ -30,6 +30,16 @@
 	o.last[to], o.every[to] = o.now, s.Every.Duration()
 }
 
+// often returns how many balancers expect the agent's status often.
+func (o *promises) often() (n int) {
+	for _, e := range o.every {
+		if e <= LargeEvery {
+			n++
+		}
+	}
+	return n
+}
+
 func (*promises) ToCaller(IP, []byte) {}
 
 func (*promises) ToUpstream([]byte) {}
@@ -49,15 +59,7 @@
 		"agents are removed":  func(n int, hear func(IP, Life, uint16)) { hear(101, 101, uint16(max(1, 60-4*n))) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			o := &promises{keys: testKeys(t), last: map[IP]time.Duration{}, every: map[IP]time.Duration{}}
-			a := &Agent{Life: 60, Service: 7, Format: plain{}, Out: o, Keys: o.keys}
-			a.Start()
-			hear := func(ip IP, life Life, agents uint16) {
-				m := (&BalancerStatus{Life: life, Agents: agents}).append(make([]byte, HeaderLen))
-				h := Message{Kind: KindBalancer}
-				h.Put(m, a.Keys[0])
-				a.HandleMessage(ip, m, o.now)
-			}
+			a, o, hear := promisingAgent(t)
 			for n := range 20 {
 				for ip := IP(101); ip <= 123; ip++ {
 					hear(ip, Life(ip), 60)
@@ -74,6 +76,43 @@
 	}
 }
 
+// promisingAgent is an agent whose statuses are kept, and what has it hear a balancer.
+func promisingAgent(t *testing.T) (a *Agent, o *promises, hear func(ip IP, life Life, agents uint16)) {
+	o = &promises{keys: testKeys(t), last: map[IP]time.Duration{}, every: map[IP]time.Duration{}}
+	a = &Agent{Life: 60, Service: 7, Format: plain{}, Out: o, Keys: o.keys}
+	a.Start()
+	return a, o, func(ip IP, life Life, agents uint16) {
+		m := (&BalancerStatus{Life: life, Agents: agents}).append(make([]byte, HeaderLen))
+		h := Message{Kind: KindBalancer}
+		h.Put(m, a.Keys[0])
+		a.HandleMessage(ip, m, o.now)
+	}
+}
+
+// Guards against agents that send their status often to the whole fleet, as a balancer
+// that has just started knows few agents.
+func TestBalancerThatKnowsFewAgentsMakesNoFleetSmall(t *testing.T) {
+	a, o, hear := promisingAgent(t)
+	for o.now < 5*time.Second {
+		for ip := IP(101); ip <= 123; ip++ {
+			hear(ip, Life(ip), 60)
+		}
+		for range 10 {
+			o.now += 50 * time.Millisecond
+			a.Tick(o.now)
+		}
+	}
+	want := o.often()
+	hear(105, 1000, 2)
+	for range 20 {
+		o.now += 50 * time.Millisecond
+		a.Tick(o.now)
+		if n := o.often(); n > want+1 { // the one that has started is greeted
+			t.Fatalf("%d balancers expect statuses often, before it was %d", n, want)
+		}
+	}
+}
+
 // Guards against flows that are reset since another balancer said that their agent is
 // silent: an agent that answers lives, and one that was not asked may.
 func TestSilentAgentIsAskedBeforeItIsHeldForGone(t *testing.T) {
