Ask an agent that is not heard before it is held for gone

What callers saw: open flows reset although their upstreams served. Cause: 2.5 s without a status, or after any balancer near the agent called it silent, an agent counted as gone with its flows, and homes were sure that a flow they did not know had ended. On a larger fleet a far agent speaks each 3 s and more, so nothing had to be lost. Change: a suspected agent is asked by each balancer that suspects it to tell everything again, each 0.25 s; one that answers is heard, and what was lost of its entries is known again. It is held for gone once it has left five questions unanswered. Questions count only while the balancer hears half of the agents near it and of its peers, and anew after a pause of its own.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -193,10 +193,9 @@
 	case KindBalancer:
 		a.hearBalancer(from, p, now)
 	case KindResend:
-		if a.balancers[from] != nil {
-			a.enterAgain(from)
-			a.greet(from, now)
-		}
+		a.Meet(from, now)
+		a.enterAgain(from)
+		a.greet(from, now)
 	}
 }
 
--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -46,7 +46,7 @@
 		a.former = [4]Life{a.status.Life, a.former[0], a.former[1], a.former[2]}
 		a.started = now - s.Uptime.Duration()
 	}
-	a.status, a.heard, a.missed, a.told = s, now, 0, 0
+	a.status, a.heard, a.missed, a.suspicion = s, now, 0, suspicion{}
 	a.work = int(s.Flows) + int(s.UnderWay)
 	if moved {
 		x.index()
@@ -57,7 +57,7 @@
 // doubts reports whether the agent is known and doubted.
 func (x *agents) doubts(ip IP) bool {
 	a := x.byIP[ip]
-	return a != nil && a.told != 0
+	return a != nil && a.suspicion.since != 0
 }
 
 func (x *agents) add(ip IP, now time.Duration) *agentView {
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -22,16 +22,15 @@
 
 // agentView is what a balancer knows of an agent.
 type agentView struct {
-	ip       IP
-	key      uint64
-	status   AgentStatus
-	recorded bool
-	noted    time.Duration // when it was known first
-	heard    time.Duration // 0: never
-	started  time.Duration
-	missed   int // openings left unanswered since it was heard
-	// told is when a balancer near the agent said that it is silent; 0: not.
-	told       time.Duration
+	ip         IP
+	key        uint64
+	status     AgentStatus
+	recorded   bool
+	noted      time.Duration // when it was known first
+	heard      time.Duration // 0: never
+	started    time.Duration
+	missed     int // openings left unanswered since it was heard
+	suspicion  suspicion
 	toldStatus time.Duration // when this balancer told the agent its own status
 	differs    difference
 	homes      homeSet // among which it chooses homes, if it knows the digest in the status
@@ -59,7 +58,7 @@
 	switch {
 	case out[s.Zone], s.Leaving, s.State == UpstreamDraining, s.State == UpstreamGone, s.State == UpstreamAbsent:
 		return classNever
-	case a.missed >= doubtAfter, a.told != 0, s.State == UpstreamSilent:
+	case a.missed >= doubtAfter, a.suspicion.since != 0, s.State == UpstreamSilent:
 		return classDoubted
 	case a.heard == 0:
 		// Recorded, and not heard yet: a balancer that has just started would
@@ -143,7 +142,7 @@
 
 // reachable reports whether the agent is heard, and so would answer.
 func (a *agentView) reachable(now time.Duration) bool {
-	return a.heard != 0 && a.told == 0 && !a.silent(now)
+	return a.heard != 0 && a.suspicion.since == 0 && !a.silent(now)
 }
 
 // silent reports whether the agent's statuses are overdue.
@@ -165,16 +164,9 @@
 	return a.homes.knows(a.status.Homes)
 }
 
-// lastSign is when there was last a sign of the agent's life, or word of its end.
-func (a *agentView) lastSign() time.Duration { return max(a.heard, a.told) }
-
-// goneAfter is when a silent agent is held for gone with its flows: several times the
-// time in which a killed process is started again. Until then its callers wait for an
-// answer that may never come.
-const goneAfter = 2500 * time.Millisecond
-
-// unheardAfter is the same for an agent that is recorded and was not heard since this
-// balancer started. A VM that died long ago may still have its record.
+// unheardAfter is when an agent is held for gone that is recorded, was told of this
+// balancer since it started, and was not heard. A VM that died long ago may still have its
+// record.
 const unheardAfter = 2 * time.Second
 
 // mayHold reports whether the agent may hold flows.
@@ -192,7 +184,8 @@
 		s.State == UpstreamUnknown && s.Uptime.Duration() > announcedWithin
 }
 
-// mayLive reports whether a silent agent may still hold flows.
+// mayLive reports whether a silent agent may still hold flows: until it has left questions
+// unanswered.
 //
 // Those whose upstream had deregistered, or had not been heard for as long as one that
 // lives needs, hold none. Their VMs are taken away soon after, and must not hold up the
@@ -201,10 +194,8 @@
 	switch {
 	case a.holdsNone():
 		return false
-	case a.heard == 0 && a.told == 0:
+	case a.heard == 0:
 		return now < a.noted+unheardAfter
-	case a.near():
-		return now-a.heard < goneAfter // told is then this balancer's own doubt
 	}
-	return now-a.lastSign() < goneAfter
+	return !a.suspicion.confirmed(now)
 }
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -284,7 +284,8 @@
 	b.flows.tick(now)
 	b.directory.tick(now)
 	if now-b.status >= StatusEvery {
-		b.sayWhoIsSilent(now)
+		b.suspectSilent(now)
+		b.verifySuspects(now)
 		b.tellDue(now)
 		b.tellNew(now)
 		b.agents.forget(now)
--- a/datagram/cutoff.go
+++ b/datagram/cutoff.go
@@ -17,6 +17,9 @@
 func (b *Balancer) noticePause(now time.Duration) {
 	if now-b.atWork > pauseLeast {
 		b.woke = now
+		if b.atWork != 0 { // it has worked before
+			b.suspectAnew(now)
+		}
 	}
 	b.atWork = now
 }
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -1,7 +1,6 @@
 package datagram
 
 import (
-	"encoding/binary"
 	"maps"
 	"math"
 	"slices"
@@ -79,7 +78,7 @@
 	doubted := b.agents.doubts(from)
 	born, changed := b.agents.hear(from, s, now)
 	switch a := b.agents.byIP[from]; {
-	case doubted && a.told == 0:
+	case doubted && a.suspicion.since == 0:
 		b.Log.agentChanged(a, "lifted", now)
 	case changed:
 		b.Log.agentChanged(a, "", now)
@@ -188,7 +187,7 @@
 		return p != nil && now-p.lastSign() > reapAfter+silentStatuses*farEvery(len(b.peers))
 	}
 	a := b.agents.byIP[m.IP]
-	return a != nil && !a.reachable(now) && now-max(a.noted, a.lastSign()) > reapAfter
+	return a != nil && !a.reachable(now) && now-max(a.noted, a.heard, a.suspicion.since) > reapAfter
 }
 
 // reapAfter is how long a member must be silent before its record goes: longer
@@ -196,43 +195,6 @@
 // starts.
 const reapAfter = 10 * time.Second
 
-// hearSilent takes in that a balancer near an agent does not hear it. A doubt is
-// lifted by the agent's next word, and one's own ears go before another's.
-func (b *Balancer) hearSilent(p []byte, now time.Duration) {
-	if len(p) != silentLen {
-		b.Count.BadMessages++
-		return
-	}
-	a := b.agents.byIP[IP(binary.BigEndian.Uint32(p))]
-	if a == nil || a.status.Life != Life(binary.BigEndian.Uint64(p[4:])) || a.near() || a.told != 0 {
-		return
-	}
-	a.told = now
-	b.Log.agentChanged(a, "told silent", now)
-}
-
-const silentLen = 4 + 8
-
-// sayWhoIsSilent tells the other balancers of agents near this one that are not
-// heard any more, once each.
-func (b *Balancer) sayWhoIsSilent(now time.Duration) {
-	for _, a := range b.agents.byIP {
-		if !a.near() || !a.silent(now) || a.told != 0 {
-			continue
-		}
-		a.told = now
-		b.Log.agentChanged(a, "silent", now)
-		m := b.scratch[:HeaderLen+silentLen]
-		binary.BigEndian.PutUint32(m[HeaderLen:], uint32(a.ip))
-		binary.BigEndian.PutUint64(m[HeaderLen+4:], uint64(a.status.Life))
-		h := Message{Kind: KindSilent}
-		h.Put(m, b.Keys[0])
-		for ip := range b.peers {
-			b.Out.ToProcess(ip, m)
-		}
-	}
-}
-
 func (b *Balancer) forgetPeers(now time.Duration) {
 	after := max(forgottenAfter, silentStatuses*farEvery(len(b.peers)))
 	for ip, p := range b.peers {
