Hear agents anew after a cut before a home is sure of its directory

Cause: entries told during the cut were lost. A home notices by the agent's statuses, but agents that are far speak each 3 s or more on a larger fleet, and until then their last status, from before the cut, said that all had arrived. Change: a balancer notes when the statuses of more than half of the agents near it are overdue, or it hears few peers, or it stood still. An agent that was not heard since makes its directory unsure, and is asked at once when the cut is over. Tried and left out: to take the fleet for cut off when no agent spoke for nine times the mean interval.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -43,6 +43,7 @@
 	revision     uint64
 	leaving      bool
 	settled      bool          // the records were read in this life
+	apartAt      time.Duration // when it was cut off last, or stood still; 0: never
 	atWork, woke time.Duration // when this process last did something, and when after a pause
 	lookedAround time.Duration
 	isolated     bool // when it looked around last, it was cut off
--- a/datagram/cutoff.go
+++ b/datagram/cutoff.go
@@ -19,6 +19,7 @@
 		b.woke = now
 		if b.atWork != 0 { // it has worked before
 			b.suspectAnew(now)
+			b.apartAt = now
 		}
 	}
 	b.atWork = now
--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -204,7 +204,7 @@
 		}
 		switch {
 		case !a.mayHold(now):
-		case !a.reachable(now):
+		case !a.reachable(now), b.stale(a):
 			return false
 		case !a.status.KnowsAll:
 			if len(c.unsure) == unsureMost {
--- a/datagram/silence_test.go
+++ b/datagram/silence_test.go
@@ -157,6 +157,44 @@
 	}
 }
 
+// Guards against a home that was cut off for a moment and takes its directory for whole, as
+// agents that speak seldom have said nothing yet of what they told meanwhile.
+func TestHomeHearsAgentsAnewAfterACut(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 4, now)
+	speak := func(ip IP, every time.Duration) {
+		status := b.agents.byIP[ip].status
+		status.Sequence, status.Every = status.Sequence+1, MillisOf(every)
+		b.agents.hear(ip, status, now)
+	}
+	speakAll := func() {
+		for ip := IP(1); ip <= 3; ip++ {
+			speak(ip, LargeEvery)
+		}
+	}
+	speakAll()
+	speak(4, 3*time.Second)
+	if !b.coverage(now).ok {
+		t.Fatal("the directory is not whole before")
+	}
+	for range 10 { // all are lost
+		now += 100 * time.Millisecond
+		b.Tick(now)
+	}
+	now += time.Millisecond
+	speakAll()
+	now += StatusEvery
+	b.Tick(now)
+	if b.coverage(now).ok || !slices.Equal(s.verified, []IP{4}) {
+		t.Errorf("covered: %t, asked %v, want only the one that speaks seldom", b.coverage(now).ok, s.verified)
+	}
+	speak(4, 3*time.Second)
+	now += coverageFor
+	if !b.coverage(now).ok {
+		t.Error("the directory is not whole after all were heard")
+	}
+}
+
 // tellSilent has another balancer say that the agent is silent.
 func tellSilent(b *Balancer, ip IP, now time.Duration) {
 	p := make([]byte, silentLen)
--- a/datagram/suspicion.go
+++ b/datagram/suspicion.go
@@ -33,13 +33,13 @@
 	asked time.Duration // when the last was sent; 0: never
 }
 
-// due reports whether the agent is to be asked.
-func (s *suspicion) due(now time.Duration) bool {
+// due reports whether it is time for another question, if that counts.
+func (s *suspicion) due(counts bool, now time.Duration) bool {
 	every := askEvery
-	if s.asks >= asksUnanswered {
+	if !counts || s.asks >= asksUnanswered {
 		every = farLeast
 	}
-	return s.since != 0 && (s.asked == 0 || now-s.asked >= every)
+	return s.asked == 0 || now-s.asked >= every
 }
 
 // confirmed reports whether the agent has left enough questions unanswered.
@@ -96,14 +96,19 @@
 	}
 }
 
-// verifySuspects asks the suspected agents whose time it is.
+// verifySuspects asks the suspected agents whose time it is, and after a cut those that
+// were not heard since: what they told meanwhile is lost.
 func (b *Balancer) verifySuspects(now time.Duration) {
 	left, counts := asksEach, !b.apart(now)
+	if !counts {
+		b.apartAt = now
+	}
 	for _, a := range b.agents.byIP {
-		if left == 0 || !a.suspicion.due(now) || a.holdsNone() {
+		suspected := a.suspicion.since != 0
+		if left == 0 || a.holdsNone() || !suspected && !(counts && b.stale(a)) || !a.suspicion.due(counts, now) {
 			continue
 		}
-		if counts {
+		if suspected && counts {
 			a.suspicion.asks++
 		}
 		b.verify(a, now)
@@ -111,20 +116,23 @@
 	}
 }
 
-// apart reports whether the balancer hears fewer than half of the agents near it, or of
-// the other balancers: it is rather cut off than alone alive. Those that are far are heard
-// too seldom to tell.
+// stale reports whether the agent was not heard since this balancer was cut off.
+func (b *Balancer) stale(a *agentView) bool { return a.heard != 0 && a.heard <= b.apartAt }
+
+// apart reports whether the statuses of more than half of the agents near this balancer
+// are overdue, or it hears fewer than half of the other balancers: it is rather cut off
+// than alone alive. Agents that are far speak too seldom to tell.
 func (b *Balancer) apart(now time.Duration) bool {
-	near, heard := 0, 0
+	near, onTime := 0, 0
 	for _, a := range b.agents.byIP {
 		if !a.near() || a.holdsNone() {
 			continue
 		}
-		if near++; !a.silent(now) {
-			heard++
+		if near++; now-a.heard <= a.status.Every.Duration()+StatusEvery+silentDelay {
+			onTime++
 		}
 	}
-	return 2*heard < near || b.lonely(now)
+	return 2*onTime < near || b.lonely(now)
 }
 
 // verify has an agent say that it lives and tell its flows again.
