Reset no flow before an agent was heard since its lookup began

Cause: a balancer and both homes of a flow had just been cut off together. The flow was opened after that, through another balancer; the homes had heard all agents a moment before and were sure that it did not exist. TestBalancerThatHearsNoAgentResetsNothing fails without the wait. Tests of lookups now have denials come as messages, and an agent heard, as in a fleet; what they check is as it was.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -43,6 +43,7 @@
 	revision     uint64
 	leaving      bool
 	settled      bool          // the records were read in this life
+	agentHeard   time.Duration // when an agent was heard last
 	apartAt      time.Duration // when it was cut off last, or stood still; 0: never
 	atWork, woke time.Duration // when this process last did something, and when after a pause
 	lookedAround time.Duration
@@ -248,6 +249,9 @@
 		return
 	}
 	b.noticePause(now)
+	if h.Kind.ofAgent() {
+		b.agentHeard = now
+	}
 	switch h.Kind {
 	case KindAgent:
 		b.hearAgent(from, p, now)
--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -221,7 +221,7 @@
 		return
 	}
 	if b.gone(l, now) {
-		b.cutFlow(l, now)
+		b.cutIfConnected(l, now)
 		return
 	}
 	b.Log.decide(decision{event: events.FlowNotFound, flow: l.flow, reason: l.unproved(), hop: uint8(min(len(l.asked), 255)), version: b.Configured(), age: now - l.since}, now)
@@ -248,18 +248,28 @@
 // word: if the homes are sure, one that they are unsure of; else one that does not know
 // all flows of its upstream, and in late rounds any.
 func (b *Balancer) nextAgent(l *lookup, now time.Duration) *agentView {
+	sure := !slices.Contains(l.sure[:], false)
+	return b.bestAgent(l, now, func(a *agentView) bool {
+		return (!sure || slices.Contains(l.unsure, a.ip)) && (l.round >= roundOfAny || !a.status.KnowsAll)
+	})
+}
+
+// agentToHear returns an agent that would answer at once that it does not hold the flow.
+func (b *Balancer) agentToHear(l *lookup, now time.Duration) *agentView {
+	return b.bestAgent(l, now, func(a *agentView) bool { return a.status.KnowsAll })
+}
+
+// bestAgent returns the agent of the flow's services that ranks first of those that may
+// be asked, nil if there is none or the round has asked enough.
+func (b *Balancer) bestAgent(l *lookup, now time.Duration, may func(*agentView) bool) *agentView {
 	if b.config == nil || l.left == 0 {
 		return nil
 	}
 	var best ranked
 	hash := l.flow.hash()
-	sure := !slices.Contains(l.sure[:], false)
 	for _, s := range b.config.Routes[l.flow.Address].Shares {
 		for _, a := range b.agents.byService[s.Service] {
-			if !a.reachable(now) || slices.Contains(l.asked, a.ip) {
-				continue
-			}
-			if sure && !slices.Contains(l.unsure, a.ip) || l.round < roundOfAny && a.status.KnowsAll {
+			if !a.reachable(now) || slices.Contains(l.asked, a.ip) || !may(a) {
 				continue
 			}
 			if r := (ranked{a, b.agents.rank(hash, a)}); best.agent == nil || r.score > best.score {
@@ -356,6 +366,23 @@
 	return true
 }
 
+// cutIfConnected tells the caller that its flow is gone once an agent was heard since the
+// lookup began. This balancer may just have been cut off together with both homes, which
+// then do not know what agents told since.
+func (b *Balancer) cutIfConnected(l *lookup, now time.Duration) {
+	if b.agentHeard > l.since {
+		b.cutFlow(l, now)
+		return
+	}
+	if now-l.since >= lookupShort {
+		if a := b.agentToHear(l, now); a != nil {
+			b.askAgent(l, a.ip, now)
+			return
+		}
+	}
+	b.lookups.wake(l, now+lookupShort)
+}
+
 // cutFlow tells the caller that its flow is gone.
 func (b *Balancer) cutFlow(l *lookup, now time.Duration) {
 	b.endLookup(l)
--- a/datagram/lookup_test.go
+++ b/datagram/lookup_test.go
@@ -25,7 +25,20 @@
 
 // deny answers for an agent that it does not hold the flow.
 func deny(b *Balancer, ip IP, port uint16, f Flags, now time.Duration) {
-	b.denied(ip, Message{Flags: f}, appendFlow(nil, testFlow(port)), now)
+	b.HandleMessage(ip, message(b, Message{Kind: KindDenied, Flags: f}, appendFlow(nil, testFlow(port))), now)
+}
+
+// message returns a message as it comes from another process.
+func message(b *Balancer, h Message, p []byte) []byte {
+	m := append(make([]byte, HeaderLen), p...)
+	h.Put(m, b.Keys[0])
+	return m
+}
+
+// goOn has the balancer hear an agent, and go on with its lookups.
+func goOn(b *Balancer, now time.Duration) {
+	b.HandleMessage(3, message(b, Message{Kind: KindRefused}, nil), now+time.Millisecond)
+	b.lookAgain(now + lookupShort)
 }
 
 // Guards against the reset of a flow that lives, and against callers of lost flows that
@@ -88,6 +101,7 @@
 			for i := 0; i < len(s.asks()); i++ {
 				deny(b, s.asks()[i], 5, x.denies, now)
 			}
+			goOn(b, now)
 			if len(s.asks()) != x.asked || s.caller != x.resets {
 				t.Errorf("%d resets after asking %v", s.caller, s.asks())
 			}
@@ -172,6 +186,7 @@
 		for i := 0; i < len(s.asks()); i++ {
 			deny(b, s.asks()[i], port, 0, now)
 		}
+		goOn(b, now)
 		if got := s.asks(); len(got) != 6 || got[0] > 2 || got[1] > 2 || got[0] == got[1] || s.caller != 1 {
 			t.Fatalf("asked %v, resets %d", got, s.caller)
 		}
@@ -211,6 +226,9 @@
 			}
 			x.meanwhile(b, now)
 			b.Tick(now + roundFirst)
+			for _, ip := range s.asks() {
+				deny(b, ip, 5, 0, now+roundFirst+time.Millisecond)
+			}
 			if s.caller != x.resets {
 				t.Errorf("%d resets", s.caller)
 			}
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -44,6 +44,15 @@
 	kindEnd
 )
 
+// ofAgent reports whether an agent sends messages of the kind.
+func (k Kind) ofAgent() bool {
+	switch k {
+	case KindOpened, KindRefused, KindNotMine, KindDenied, KindMine, KindAgent, KindEntries:
+		return true
+	}
+	return false
+}
+
 // Message is the header of a message.
 type Message struct {
 	Kind   Kind
--- a/datagram/silence_test.go
+++ b/datagram/silence_test.go
@@ -195,6 +195,34 @@
 	}
 }
 
+// Guards against living flows that are reset by a balancer that was cut off a moment ago,
+// by the word of homes that were cut off with it.
+func TestBalancerThatHearsNoAgentResetsNothing(t *testing.T) {
+	for name, x := range map[string]struct {
+		answers bool
+		resets  int
+	}{
+		"an agent answers": {true, 1},
+		"none answers":     {false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := 10 * time.Second
+			b, s := testBalancer(t, 3, start)
+			b.HandleCaller(plainPacket(plainData, 5), start)
+			answered := 0
+			for now := start; now < start+lookupFor; now += time.Millisecond {
+				b.lookAgain(now)
+				for ; x.answers && answered < len(s.asks()); answered++ {
+					deny(b, s.asks()[answered], 5, 0, now+time.Millisecond)
+				}
+			}
+			if s.caller != x.resets || len(s.asks()) == 0 {
+				t.Errorf("%d resets after asking %v", s.caller, s.asks())
+			}
+		})
+	}
+}
+
 // tellSilent has another balancer say that the agent is silent.
 func tellSilent(b *Balancer, ip IP, now time.Duration) {
 	p := make([]byte, silentLen)
