Hold an upstream that listens for one that may hold flows

Cause, found by looking for the same fault elsewhere: an agent that was started beside its upstream and had not heard it for 2 s denied all its flows and told balancers that it holds none, even while the upstream accepted connections; its callers would be reset. Change: silence of 2 s counts only if nothing accepted a connection; balancers go by the agent's word that it knows all flows, not by the time alone.

--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -181,7 +181,7 @@
 func (a *agentView) holdsNone() bool {
 	s := &a.status
 	return s.State == UpstreamGone || s.State == UpstreamAbsent ||
-		s.State == UpstreamUnknown && s.Uptime.Duration() > announcedWithin
+		s.State == UpstreamUnknown && s.KnowsAll && s.Uptime.Duration() > announcedWithin
 }
 
 // mayLive reports whether a silent agent may still hold flows: until it has left questions
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -150,11 +150,11 @@
 // that no packet of it has to bounce off this upstream.
 func (a *Agent) knowsAll(now time.Duration) bool {
 	return a.upstream.complete || now > flowLife ||
-		a.upstream.state == UpstreamUnknown && !a.upstream.answers && now > announcedWithin
+		a.upstream.state == UpstreamUnknown && !a.upstream.answers && !a.upstream.listens && now > announcedWithin
 }
 
 // announcedWithin is when an upstream that lives has been heard since its agent started,
-// some of its heartbeats. Else there is none.
+// some of its heartbeats. If nothing accepts a connection there either, there is none.
 const announcedWithin = 2 * time.Second
 
 // began notices a request that begins with a packet of the caller.
