Record which upstreams drain, and recall it when an agent starts again

Cause: an agent that has just started may try an upstream that listens before its next heartbeat, and nobody else remembers that it drains. Change: an agent records in the store that its upstream drains, under a kind that nobody watches, and removes that with its own record. One that finds its record written by an earlier run reads it before it tries an upstream that has not announced itself. Rows of TestAgentIsTheGateForOpenings and TestDrainingUpstreamIsRecalled are new. Checks changed: rows of the gate's test in which an unheard upstream may be tried now have the agent recall that it serves.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -40,6 +40,9 @@
 	// Probe, if not nil, has the upstream's address tried; Probed is called with
 	// what came of it. It must not wait.
 	Probe func()
+	// OnDrain, if not nil, is called when the upstream has said that it drains, so that
+	// it can be recorded for a later run of the agent. It must not wait.
+	OnDrain func()
 
 	upstream  upstream
 	balancers map[IP]*balancerView
@@ -62,6 +65,7 @@
 	counted    time.Duration
 	probing    bool
 	probed     time.Duration // when the last probe began; 0: never
+	recalled   recall
 	pending    [pendingMost]pending
 	last       uint32
 	sequence   uint32
@@ -155,6 +159,9 @@
 		a.Log.upstreamChanged(&a.upstream, reborn)
 		a.tell(now)
 	}
+	if a.upstream.state == UpstreamDraining && was != UpstreamDraining && a.OnDrain != nil {
+		a.OnDrain()
+	}
 	return true
 }
 
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -35,14 +35,33 @@
 	return ReasonNone
 }
 
+// recall is what an agent knows of its earlier runs beside the same upstream.
+type recall uint8
+
+const (
+	recallNothing recall = iota // the record has not been read
+	recallServing
+	recallDraining
+)
+
+// Recall takes in whether an earlier run recorded that the upstream drains.
+func (a *Agent) Recall(draining bool) {
+	a.recalled = recallServing
+	if draining {
+		a.recalled = recallDraining
+	}
+}
+
 // mayTry reports whether an upstream may get openings that has not announced itself
-// since this agent started: it is there, and whether its zone is out is known.
+// since this agent started: it is there, it did not drain, and whether its zone is out is
+// known.
 //
 // After a kill of all processes most agents return long before their upstreams' next
 // heartbeats, and the few upstreams that are heard first can't serve all. Balancers ask
-// the others before. It is held for cold; that it drains is known a heartbeat later, and
-// until then it still serves.
-func (a *Agent) mayTry() bool { return a.upstream.listens && a.revision > 0 }
+// the others before. It is held for cold.
+func (a *Agent) mayTry() bool {
+	return a.upstream.listens && a.revision > 0 && a.recalled == recallServing
+}
 
 // unknownSlots are taken for an upstream's that has not told its own; more than it has
 // would make its requests wait.
--- a/datagram/gate_test.go
+++ b/datagram/gate_test.go
@@ -21,16 +21,32 @@
 		"ready":                  {func(a *Agent) { a.Announce(&ready, now) }, Message{Service: 7}, ReasonNone},
 		"other service":          {func(a *Agent) { a.Announce(&ready, now) }, Message{Service: 8}, ReasonService},
 		"upstream not heard yet": {func(*Agent) {}, Message{Service: 7}, ReasonUnknown},
-		"not heard yet, it listens, zones not known": {func(a *Agent) { a.Probed(ProbeAccepted, now) }, Message{Service: 7}, ReasonUnknown},
+		"not heard yet, it listens, zones not known": {func(a *Agent) { a.Recall(false); a.Probed(ProbeAccepted, now) }, Message{Service: 7}, ReasonUnknown},
+		"not heard yet, it listens, records not read": {func(a *Agent) {
+			a.Probed(ProbeAccepted, now)
+			a.setZonesOut(nil, 9, now)
+		}, Message{Service: 7}, ReasonUnknown},
+		"not heard yet, it listens, drained before": {func(a *Agent) {
+			a.Recall(true)
+			a.Probed(ProbeAccepted, now)
+			a.setZonesOut(nil, 9, now)
+		}, Message{Service: 7}, ReasonUnknown},
+		"drained before, another life": {func(a *Agent) {
+			a.Recall(true)
+			a.Announce(&ready, now)
+		}, Message{Service: 7}, ReasonNone},
 		"not heard yet, it listens": {func(a *Agent) {
+			a.Recall(false)
 			a.Probed(ProbeAccepted, now)
 			a.setZonesOut(nil, 9, now)
 		}, Message{Service: 7}, ReasonNone},
 		"not heard yet, it listens, zone out": {func(a *Agent) {
+			a.Recall(false)
 			a.Probed(ProbeAccepted, now)
 			a.setZonesOut([]ZoneKey{3}, 9, now)
 		}, Message{Service: 7}, ReasonZoneOut},
 		"not heard yet, held for cold": {func(a *Agent) {
+			a.Recall(false)
 			a.Probed(ProbeAccepted, now)
 			a.setZonesOut(nil, 9, now)
 			a.upstream.bucket.take(0.5, now)
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -348,6 +348,7 @@
 	u       *upstream
 	up      bool
 	lost    bool // the VM is gone for good
+	drained bool // the store has a record that the upstream drains
 	since   time.Duration
 	life    int
 }
@@ -390,7 +391,13 @@
 			}
 		})
 	}
+	v.a.OnDrain = func() { w.after(storeReadUsual, func() { v.drained = true }) }
 	v.a.Start()
+	w.after(cmp.Or(w.storeRead, storeReadUsual), func() {
+		if v.life == life {
+			v.a.Recall(v.drained)
+		}
+	})
 	if b := w.balancersInOrder(); len(b) > 0 {
 		v.a.Meet(b[0].ip, 0) // one seed is enough
 	}
--- a/node/agent.go
+++ b/node/agent.go
@@ -49,6 +49,9 @@
 		Format: platform.Packets{}, Out: a, Keys: b.keys, Log: &datagram.Log{Log: b.log, Most: o.Lines}, Observe: b.observe, Evacuation: b.settings.Evacuation,
 	}
 	a.agent.Probe = func() { go a.probe() }
+	a.agent.OnDrain = func() {
+		go a.store.putDraining(a.ctx, a.recordName(), platform.Draining{Upstream: a.settings.Upstream.String()})
+	}
 	a.agent.Start()
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a, nil
@@ -126,7 +129,7 @@
 	g.Add(func() error { return a.loop.run(a.ctx, a) }, func(error) { a.cancel() })
 	g.Add(func() error { return a.loop.read(a.link, fromProcess) }, func(error) { a.link.Close() })
 	g.Add(func() error { return a.loop.read(a.outbound, fromUpstream) }, func(error) { a.outbound.Close() })
-	g.Add(func() error { a.store.put(a.ctx, a.recordName(), a.record()); <-a.ctx.Done(); return nil }, func(error) { a.cancel() })
+	g.Add(func() error { a.keepRecord(); <-a.ctx.Done(); return nil }, func(error) { a.cancel() })
 	g.Add(func() error { return a.watchSettings(a.ctx, a.apply) }, func(error) { a.cancel() })
 	g.Add(func() error { return a.leave(stopped) }, func(error) { a.cancel() })
 	if err := a.addMetrics(&g, a.loop, func() any { return a.agent.Status(a.loop.now()) }); err != nil {
@@ -144,6 +147,18 @@
 	return err
 }
 
+// keepRecord writes the agent's record, and recalls what an earlier run left if there was one.
+func (a *Agent) keepRecord() {
+	draining := false
+	if !a.store.put(a.ctx, a.recordName(), a.record()) {
+		var ok bool
+		if draining, ok = a.store.draining(a.ctx, a.recordName()); !ok {
+			return
+		}
+	}
+	a.loop.do(a.ctx, func(time.Duration) { a.agent.Recall(draining) })
+}
+
 // apply takes the store's address and the seeds from the settings.
 func (a *Agent) apply(s *platform.Settings) {
 	a.store.use(s)
@@ -168,6 +183,7 @@
 		ctx, stop := context.WithTimeout(a.ctx, a.live.Load().Grace/2)
 		defer stop()
 		a.store.remove(ctx, a.recordName(), a.record())
+		a.store.removeDraining(ctx, a.recordName())
 		return nil
 	}
 	clock.Sleep(a.ctx, leaveDelay)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -110,6 +110,43 @@
 	})
 }
 
+// Guards against openings at an upstream that drains, as its agent was started again and
+// has forgotten, also if the store is away at that moment.
+func TestDrainingUpstreamIsRecalled(t *testing.T) {
+	for name, x := range map[string]struct {
+		before func(context.Context, *store)
+		away   time.Duration
+		want   bool
+	}{
+		"recorded": {func(ctx context.Context, s *store) { s.putDraining(ctx, "agent-10.0.0.1", platform.Draining{}) }, 0, true},
+		"recorded twice": {func(ctx context.Context, s *store) {
+			s.putDraining(ctx, "agent-10.0.0.1", platform.Draining{})
+			s.putDraining(ctx, "agent-10.0.0.1", platform.Draining{})
+		}, 0, true},
+		"store away": {func(ctx context.Context, s *store) { s.putDraining(ctx, "agent-10.0.0.1", platform.Draining{}) }, 5 * time.Second, true},
+		"of another": {func(ctx context.Context, s *store) { s.putDraining(ctx, "agent-10.0.0.2", platform.Draining{}) }, 0, false},
+		"has ended": {func(ctx context.Context, s *store) {
+			s.putDraining(ctx, "agent-10.0.0.1", platform.Draining{})
+			s.removeDraining(ctx, "agent-10.0.0.1")
+		}, 0, false},
+		"never": {func(context.Context, *store) {}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &standin.Platform{}
+				s := testStore(p)
+				x.before(t.Context(), s)
+				p.Set(standin.Faults{Outage: x.away > 0})
+				time.AfterFunc(x.away, func() { p.Set(standin.Faults{}) })
+				found, ok := s.draining(t.Context(), "agent-10.0.0.1")
+				if found != x.want || !ok {
+					t.Errorf("found %t, read %t", found, ok)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the record of an earlier VM that stays, and against many writes.
 func TestRecordIsPutWhateverWasThere(t *testing.T) {
 	mine := platform.Process{Address: "10.0.0.1", Role: platform.RoleAgent, Zone: "a", Service: "letters"}
@@ -132,7 +169,9 @@
 					}
 				}
 				p.Set(standin.Faults{LoseAnswers: x.lost})
-				s.put(t.Context(), "agent-10.0.0.1", mine)
+				if s.put(t.Context(), "agent-10.0.0.1", mine) && x.before != nil {
+					t.Error("took an earlier run's record for its own")
+				}
 				p.Set(standin.Faults{})
 				o, err := s.client().Get(t.Context(), platform.KindProcess, "agent-10.0.0.1")
 				var got platform.Process
--- a/node/store.go
+++ b/node/store.go
@@ -193,16 +193,18 @@
 	return x.At, nil
 }
 
-// put makes the store hold the record, whoever wrote there before.
+// put makes the store hold the record, whoever wrote there before, and reports whether
+// there was none.
 //
 // The answer to a write may be lost after it took effect, or the record be that
 // of an earlier VM at the address: both show as an object that is there already,
 // which comes with the refusal and is compared or replaced on its revision.
-func (s *store) put(ctx context.Context, name string, p platform.Process) {
+func (s *store) put(ctx context.Context, name string, p platform.Process) (created bool) {
 	t := newTries()
 	retry(ctx, &t, func() error {
 		o, err := s.client().Create(ctx, platform.KindProcess, name, p)
 		if !errors.Is(err, platform.ErrConflict) {
+			created = err == nil
 			return err
 		}
 		var held platform.Process
@@ -212,6 +214,47 @@
 		_, err = s.client().Update(ctx, platform.KindProcess, name, p, o.Meta.Revision)
 		return err
 	})
+	return created
+}
+
+// putDraining records that an upstream drains; it may be recorded already.
+func (s *store) putDraining(ctx context.Context, name string, d platform.Draining) {
+	t := newTries()
+	retry(ctx, &t, func() error {
+		_, err := s.client().Create(ctx, platform.KindDraining, name, d)
+		if errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		return err
+	})
+}
+
+// draining reads whether an upstream is recorded to drain; ok is false if the context
+// ended before.
+func (s *store) draining(ctx context.Context, name string) (found, ok bool) {
+	t := newTries()
+	ok = retry(ctx, &t, func() error {
+		ctx, stop := context.WithTimeout(ctx, t.timeout())
+		defer stop()
+		_, err := s.client().Get(ctx, platform.KindDraining, name)
+		if found = err == nil; errors.Is(err, platform.ErrNotFound) {
+			return nil
+		}
+		return err
+	})
+	return found, ok
+}
+
+// removeDraining removes what was recorded of an upstream that has ended. If that fails, a
+// later upstream at the address gets no opening before its first heartbeat.
+func (s *store) removeDraining(ctx context.Context, name string) {
+	o, err := s.client().Get(ctx, platform.KindDraining, name)
+	if err == nil {
+		err = s.client().Delete(ctx, platform.KindDraining, name, o.Meta.Revision)
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		s.log.Add(events.PlatformDown, slog.String("kind", string(platform.KindDraining)), slog.String("error", err.Error()))
+	}
 }
 
 // remove takes the record out of the store if it is still this one.
