Remove with a dead member's record that its upstream drains

Cause, read in the change before: an agent that dies beside an upstream that drains leaves that record for good. Change: whoever removes the member's record removes it too. Measured: go test ./node passes; one call for each VM that died.

--- a/node/balancer.go
+++ b/node/balancer.go
@@ -255,6 +255,7 @@
 		return
 	}
 	b.log.Add(events.RecordRemoved, slog.String("record", o.Meta.Name), slog.Uint64("revision", uint64(o.Meta.Revision)))
+	b.store.removeDraining(b.ctx, o.Meta.Name)
 }
 
 // updateView changes what peers are told; it runs on the loop.
