Let a balancer that is cut off on a larger fleet leave sooner

What callers saw: requests through balancers that were cut off failed for as long as the cut. Cause, found while looking for thresholds of silence that go by the wrong interval: a balancer takes itself for cut off if half of the others and all agents of a service are silent. Where most are far, that is two of their intervals: 4.1 s and 6 s. Change: where most are far one missed status of each is enough to count, as a majority of many has to be silent, and agents have to have spoken within the same time.

--- a/datagram/cutoff.go
+++ b/datagram/cutoff.go
@@ -54,11 +54,12 @@
 	return false
 }
 
-// blind reports whether agents of the service were heard, and none of them lately.
+// blind reports whether agents of the service were heard, and none of them lately. Those
+// that are far may speak more seldom; of many some speak in time.
 func (b *Balancer) blind(s ServiceKey, now time.Duration) bool {
-	known := false
+	known, lately := false, b.lonelyAfter()
 	for _, a := range b.agents.byService[s] {
-		if a.reachable(now) {
+		if a.reachable(now) && now-a.heard <= lately {
 			return false
 		}
 		known = known || a.heard != 0
@@ -69,7 +70,7 @@
 // lonely reports whether fewer than half of the balancers that were heard in the last
 // half minute are heard still. After a pause it is not, until others had time to speak.
 func (b *Balancer) lonely(now time.Duration) bool {
-	after := b.peerSilentAfter()
+	after := b.lonelyAfter()
 	if now-b.woke < after {
 		return false
 	}
@@ -85,6 +86,15 @@
 	return 2*heard < known
 }
 
+// lonelyAfter is how long others may be silent before the balancer looks whether half of
+// them are. Where most are far one status of each is enough, as they are many.
+func (b *Balancer) lonelyAfter() time.Duration {
+	if nearPeerCount(len(b.peers)) < len(b.peers) {
+		return farEvery(len(b.peers)+1) + 2*StatusEvery + silentDelay
+	}
+	return b.peerSilentAfter()
+}
+
 // peerSilentAfter is how long another balancer may be silent before it counts as
 // gone: as agents are given, by how often balancers tell each other.
 func (b *Balancer) peerSilentAfter() time.Duration {
--- a/experiment/cutoff_test.go
+++ b/experiment/cutoff_test.go
@@ -9,37 +9,54 @@
 
 // Guards against callers of a balancer that is cut off from the fleet and goes on serving.
 func TestBalancerThatIsCutOffLeaves(t *testing.T) {
-	for seed := range uint64(5) {
-		w := site(t, seed, 6, 7, 200)
-		v, o := w.balancersInOrder()[0], w.balancersInOrder()[1]
-		w.cut = map[datagram.IP]bool{v.ip: true, o.ip: true}
-		w.run(w.now + 1900*time.Millisecond) // 0.85 s, and the deadlines of what was lost
-		failed := w.failed
-		w.run(w.now + 4*time.Second)
-		w.check(t)
-		if n := w.failed - failed; n > 0 {
-			t.Errorf("seed %d: %d requests failed after that", seed, n)
-		}
-		w.cut = nil
-		w.run(w.now + time.Second)
-		if !v.b.Ready() {
-			t.Errorf("seed %d: it is not ready after the cut", seed)
-		}
+	for name, x := range map[string]struct {
+		balancers, agents int
+		within            time.Duration // it leaves, and then what was lost has its deadlines
+	}{
+		"all are near": {6, 7, 900 * time.Millisecond},
+		"most are far": {23, 60, 2700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				w := site(t, seed, x.balancers, x.agents, 200)
+				v, o := w.balancersInOrder()[0], w.balancersInOrder()[1]
+				w.cut = map[datagram.IP]bool{v.ip: true, o.ip: true}
+				w.run(w.now + x.within + time.Second)
+				failed := w.failed
+				w.run(w.now + 4*time.Second)
+				w.check(t)
+				if n := w.failed - failed; n > 0 {
+					t.Errorf("seed %d: %d requests failed after that", seed, n)
+				}
+				w.cut = nil
+				w.run(w.now + time.Second)
+				if !v.b.Ready() {
+					t.Errorf("seed %d: it is not ready after the cut", seed)
+				}
+			}
+		})
 	}
 }
 
 // Guards against openings that are refused while the VMs of their service return.
 func TestServiceThatDiedIsNoCut(t *testing.T) {
-	w := site(t, 1, 4, 3, 60)
-	for _, v := range w.agentsInOrder() {
-		v.stop()
-		v.u.crash()
-	}
-	w.run(w.now + 2*time.Second)
-	for _, v := range w.balancersInOrder() {
-		if s := v.b.Status(w.now - v.since); !s.Ready || s.Counts.Resets > 0 {
-			t.Errorf("balancer %v: ready %t, %d resets", v.ip, s.Ready, s.Counts.Resets)
-		}
+	for name, x := range map[string]struct{ balancers, agents int }{
+		"all are near": {4, 3},
+		"most are far": {23, 60},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := site(t, 1, x.balancers, x.agents, 60)
+			for _, v := range w.agentsInOrder() {
+				v.stop()
+				v.u.crash()
+			}
+			w.run(w.now + 2*time.Second)
+			for _, v := range w.balancersInOrder() {
+				if s := v.b.Status(w.now - v.since); !s.Ready || s.Counts.Resets > 0 {
+					t.Errorf("balancer %v: ready %t, %d resets", v.ip, s.Ready, s.Counts.Resets)
+				}
+			}
+		})
 	}
 }
 
