--- a/experiment/draw.go
+++ b/experiment/draw.go
@@ -36,15 +36,19 @@
 func (o *Options) drawFault(r *rand.Rand, at time.Duration) []string {
 	lasts := time.Duration(200+r.IntN(2800)) * time.Millisecond
 	agents, balancers := 1+r.IntN(max(1, o.Agents/4)), 1+r.IntN(max(1, o.Balancers/2))
-	switch verb := []string{"power", "kill", "restart", "lose", "crash", "drain", "cut", "out", "burst", "loss"}[r.IntN(10)]; verb {
+	switch verb := []string{"power", "kill", "restart", "lose", "crash", "drain", "cut", "out", "burst", "loss", "reroute", "freeze", "store"}[r.IntN(13)]; verb {
 	case "power", "kill":
 		return []string{fmt.Sprintf("%v %s %v", at, verb, lasts)}
-	case "restart", "cut":
+	case "restart", "cut", "freeze":
 		return []string{fmt.Sprintf("%v %s %d %v", at, verb, balancers, lasts)}
 	case "burst":
 		return []string{fmt.Sprintf("%v burst %d %v", at, 1+r.IntN(o.callers()), lasts)}
 	case "loss":
 		return []string{fmt.Sprintf("%v loss %.3f %v", at, 0.05*r.Float64(), lasts)}
+	case "reroute":
+		return []string{fmt.Sprintf("%v reroute", at)}
+	case "store":
+		return []string{fmt.Sprintf("%v store %v %v", at, lasts/10, lasts)}
 	case "out":
 		z := zoneName(r.IntN(o.Zones))
 		return []string{fmt.Sprintf("%v out %s", at, z), fmt.Sprintf("%v in %s", at+lasts+3*time.Second, z)}
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -109,3 +109,20 @@
 	w.loss = share
 	w.after(d, func() { w.loss = 0 })
 }
+
+// freeze has n balancers stand still for d. What comes meanwhile waits for them.
+func (w *world) freeze(n int, d time.Duration) {
+	for _, v := range spread(w.balancersInOrder(), n) {
+		if !v.up || v.frozen {
+			continue
+		}
+		v.frozen = true
+		v.later(d, v.thaw)
+	}
+}
+
+// slowStore has the store answer balancers that start after wait, for d.
+func (w *world) slowStore(wait, d time.Duration) {
+	w.storeRead = wait
+	w.after(d, func() { w.storeRead = 0 })
+}
--- a/experiment/script.go
+++ b/experiment/script.go
@@ -33,6 +33,9 @@
 //	AT in ZONE          it is taken back
 //	AT burst N FOR      N more callers, for so long
 //	AT loss SHARE FOR   so many datagrams between VMs are lost, for so long
+//	AT reroute          routers send nearly all flows through other balancers
+//	AT freeze N FOR     N balancers stand still for so long
+//	AT store WAIT FOR   the store takes so long to answer balancers that start, for so long
 var verbs = map[string]func(*args) func(*world){
 	"power": func(a *args) func(*world) { d := a.duration(); return func(w *world) { w.powerLoss(d) } },
 	"kill":  func(a *args) func(*world) { d := a.duration(); return func(w *world) { w.killAll(d) } },
@@ -57,6 +60,15 @@
 		x, d := a.share(), a.duration()
 		return func(w *world) { w.lossy(x, d) }
 	},
+	"reroute": func(*args) func(*world) { return func(w *world) { w.routing++ } },
+	"freeze": func(a *args) func(*world) {
+		n, d := a.count(), a.duration()
+		return func(w *world) { w.freeze(n, d) }
+	},
+	"store": func(a *args) func(*world) {
+		x, d := a.duration(), a.duration()
+		return func(w *world) { w.slowStore(x, d) }
+	},
 }
 
 // parseScript reads a script. All findings are reported together, each with its line.
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -208,6 +208,9 @@
 	up    bool
 	since time.Duration
 	due   time.Duration // when it is called next
+	// frozen: it stands still; held is what waits for it.
+	frozen bool
+	held   []func()
 }
 
 func (v *balancerVM) ToProcess(ip datagram.IP, m []byte) {
@@ -245,10 +248,7 @@
 			a.a.Tick(w.now - a.since) // as the program does after each datagram
 		}
 		if b := w.balancers[to]; b != nil && b.up {
-			b.take(classLink, len(c), func() {
-				b.b.HandleMessage(from, c, w.now-b.since)
-				b.arm()
-			})
+			b.receive(classLink, c, func() { b.b.HandleMessage(from, c, w.now-b.since) })
 		}
 	})
 }
@@ -305,6 +305,7 @@
 	w := v.w
 	v.begin()
 	v.up, v.since, v.due = true, w.now, 0
+	v.frozen, v.held = false, nil
 	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.Packets{}, Out: v, Keys: w.keys, Placement: w.placement, LookupRate: v.size.lookupRate()}
 	v.b.Start()
 	life := v.life
@@ -320,11 +321,38 @@
 	v.arm()
 }
 
+// receive has the balancer handle a datagram, once it does not stand still.
+func (v *balancerVM) receive(c class, b []byte, handle func()) {
+	if v.frozen {
+		if len(v.held) < unreadMost {
+			v.held = append(v.held, func() { v.receive(c, b, handle) })
+		}
+		return
+	}
+	v.take(c, len(b), func() {
+		handle()
+		v.arm()
+	})
+}
+
+// thaw has the balancer go on after it stood still.
+func (v *balancerVM) thaw() {
+	held := v.held
+	v.frozen, v.held = false, nil
+	for _, f := range held {
+		f()
+	}
+	v.arm()
+}
+
 func (v *balancerVM) stop() { v.up, v.life = false, v.life+1 }
 
 // arm runs what is due at the balancer, and again when it next wants to be called. One
 // call is planned at a time; one that another came before is void.
 func (v *balancerVM) arm() {
+	if v.frozen {
+		return
+	}
 	w, life := v.w, v.life
 	now := w.now - v.since
 	at := v.since + max(v.b.Tick(now), now+time.Millisecond)
@@ -435,10 +463,7 @@
 		if !v.up {
 			return
 		}
-		v.take(classCaller, len(c), func() {
-			v.b.HandleCaller(withRoom(c), w.now-v.since)
-			v.arm()
-		})
+		v.receive(classCaller, c, func() { v.b.HandleCaller(withRoom(c), w.now-v.since) })
 	})
 }
 
