Hold a flow that a restarted agent sees accepted for accepted, not open

Cause: an opening went to two upstreams. One agent was killed and started again meanwhile; its upstream repeated its acceptance, and the agent, which did not know the flow, took it for open. The caller had opened the flow at the other upstream. When its packets were looked for later, this upstream bounced one, and the agent reset a flow that its upstream 'had lost'. Change: a flow that is learned from an acceptance is accepted; the caller's next packet says whether it chose this upstream.

--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -265,16 +265,28 @@
 	f, known := a.flows.get(k.Flow)
 	switch {
 	case !known && !k.Reset:
-		f = &flowState{phase: flowOpen, born: a.upstream.born, since: now, number: k.Seq + uint32(k.Length)}
-		a.flows.set(k.Flow, f)
-		a.open++
-		a.register(k.Flow, f, now)
+		a.learn(k, now)
 	case known:
 		a.answered(k, f, now)
 	}
 	a.Out.ToCaller(k.Flow.Caller.IP, p)
 }
 
+// learn takes in a flow that an earlier run of the agent gave to the upstream.
+//
+// An upstream goes on accepting an opening until the caller has answered. Taken for open, a
+// flow whose caller chose another upstream would be reset when this one bounced its packets.
+func (a *Agent) learn(k Packet, now time.Duration) {
+	f := &flowState{phase: flowOpen, born: a.upstream.born, since: now, number: k.Seq + uint32(k.Length)}
+	if k.Open {
+		f.phase, f.accepted = flowAccepted, k.Seq
+	} else {
+		a.open++
+	}
+	a.flows.set(k.Flow, f)
+	a.register(k.Flow, f, now)
+}
+
 // answered follows a flow by what its upstream sends.
 func (a *Agent) answered(k Packet, f *flowState, now time.Duration) {
 	f.number = k.Seq + uint32(k.Length)
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -116,26 +116,39 @@
 	return p, ok
 }
 
+func (n numbered) ParseOutbound(b []byte) (Packet, bool) {
+	p, ok := n.plain.Parse(b)
+	p.Seq = binary.BigEndian.Uint32(b[len(b)-4:])
+	return p, ok
+}
+
 // Guards against the reset of a flow that lives at another upstream: two accepted the
 // opening with numbers near each other, the caller's packet was taken for a choice of the
 // wrong one, and what that bounced for a flow that it had lost.
 func TestCallerChoosesOneOfTwoUpstreams(t *testing.T) {
 	const accepted = 1 << 31
 	for name, x := range map[string]struct {
-		number uint32
-		chosen bool
+		number    uint32
+		restarted bool // the agent, after the opening was given to its upstream
+		chosen    bool
 	}{
-		"this one":               {accepted + 1, true},
-		"one with a near number": {accepted + 500, false},
-		"one just before":        {accepted, false},
-		"another":                {17, false},
+		"this one":               {accepted + 1, false, true},
+		"one with a near number": {accepted + 500, false, false},
+		"one just before":        {accepted, false, false},
+		"another":                {17, false, false},
+		"this one, restarted":    {accepted + 1, true, true},
+		"another, restarted":     {17, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSent(t)
 			a := &Agent{Service: 7, Format: numbered{}, Out: s, Keys: testKeys(t)}
 			a.Start()
 			a.Announce(&Announcement{Service: 7, Born: 5, Sequence: 1, Slots: 5}, time.Second)
-			a.flows.set(testFlow(9), &flowState{phase: flowAccepted, born: 5, accepted: accepted})
+			if x.restarted {
+				a.HandleUpstream(binary.BigEndian.AppendUint32(plainPacket(plainOpening, 9), accepted), time.Second)
+			} else {
+				a.flows.set(testFlow(9), &flowState{phase: flowAccepted, born: 5, accepted: accepted})
+			}
 			m := binary.BigEndian.AppendUint32(plainPacket(plainData, 9), x.number)
 			h := Message{Kind: KindPacket}
 			h.Put(m, a.Keys[0])
