--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -71,7 +71,7 @@
 	sequence   uint32
 	status     time.Duration
 	agents     int    // of the fleet, as balancers say
-	near       uint64 // the digest of the balancers that are told often
+	near       uint64 // digest of the balancers that are told often
 	scratch    [2048]byte
 }
 
--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -54,8 +54,8 @@
 	return born, changed
 }
 
-// doubts reports whether the agent is known and doubted.
-func (x *agents) doubts(ip IP) bool {
+// suspects reports whether the agent is known and suspected.
+func (x *agents) suspects(ip IP) bool {
 	a := x.byIP[ip]
 	return a != nil && a.suspicion.since != 0
 }
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -75,10 +75,10 @@
 		b.Count.BadMessages++
 		return
 	}
-	doubted := b.agents.doubts(from)
+	suspected := b.agents.suspects(from)
 	born, changed := b.agents.hear(from, s, now)
 	switch a := b.agents.byIP[from]; {
-	case doubted && a.suspicion.since == 0:
+	case suspected && a.suspicion.since == 0:
 		b.Log.agentChanged(a, "lifted", now)
 	case changed:
 		b.Log.agentChanged(a, "", now)
--- a/datagram/suspicion.go
+++ b/datagram/suspicion.go
@@ -105,7 +105,8 @@
 	}
 	for _, a := range b.agents.byIP {
 		suspected := a.suspicion.since != 0
-		if left == 0 || a.holdsNone() || !suspected && !(counts && b.stale(a)) || !a.suspicion.due(counts, now) {
+		wanted := suspected || counts && b.stale(a)
+		if left == 0 || !wanted || a.holdsNone() || !a.suspicion.due(counts, now) {
 			continue
 		}
 		if suspected && counts {
