Ask agents again that did not answer before a lookup goes on to others

Cause: nobody knew the flow: its agent had been started again, and both homes while it was away. The balancer asked the agent that the flow's hash ranks first, which was down for its 0.6 s; 48 others were asked, and their upstreams got the packet, before it was asked again. The same if the question is lost. Change: in each round agents that did not answer are asked again, before others.

--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -57,11 +57,13 @@
 	holders []IP            // named by homes
 	unsure  []IP            // agents that homes can't speak for
 	asked   []IP
-	denied  []IP
-	left    int  // agents that may be asked in this round
-	resting bool // the round is over
-	agent   IP   // is being asked; 0: none
-	flags   Flags
+	// answered are those that denied the flow, or said that they can't tell.
+	answered []IP
+	denied   []IP
+	left     int  // agents that may be asked in this round
+	resting  bool // the round is over
+	agent    IP   // is being asked; 0: none
+	flags    Flags
 }
 
 // lookups are those under way, the oldest first in the queue.
@@ -106,7 +108,7 @@
 	l.number, l.ended = p.Number, l.ended || p.Reset
 	if denied != 0 {
 		l.denied = append(l.denied, denied)
-		l.asked = append(l.asked, denied)
+		l.asked, l.answered = append(l.asked, denied), append(l.answered, denied)
 	}
 	repeated := len(l.packets) > 0 && slices.Equal(l.packets[0][HeaderLen:], m[HeaderLen:])
 	if !repeated && len(l.packets) < packetsMost {
@@ -141,9 +143,10 @@
 func (b *Balancer) startRound(l *lookup, now time.Duration) {
 	l.round++
 	l.left, l.asking, l.resting = askedEach, true, false
-	// Holders are asked again, as what they were given may be lost.
+	// Holders, and those that did not answer, are asked again, as what they were given may
+	// be lost.
 	l.asked = slices.DeleteFunc(l.asked, func(ip IP) bool {
-		return slices.Contains(l.holders, ip) && !slices.Contains(l.denied, ip)
+		return !slices.Contains(l.denied, ip) && (slices.Contains(l.holders, ip) || !slices.Contains(l.answered, ip))
 	})
 	l.homes = b.homes.of(l.flow)
 	l.told, l.sure, l.unsure = [homesEach]bool{}, [homesEach]bool{}, nil
@@ -312,6 +315,7 @@
 	if l == nil {
 		return
 	}
+	l.answered = append(l.answered, from)
 	if h.Flags.has(FlagUnsure) {
 		l.flags |= h.Flags & FlagKnownOnly
 	} else {
--- a/datagram/lookup_test.go
+++ b/datagram/lookup_test.go
@@ -169,6 +169,29 @@
 	}
 }
 
+// Guards against a lookup that asks all others before the agent that holds the flow, as its
+// question was lost.
+func TestLookupAsksAgainWhoDidNotAnswer(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 20, now-200*time.Millisecond)
+	for _, a := range b.agents.byIP {
+		a.status.KnowsAll = false
+	}
+	b.HandleCaller(plainPacket(plainData, 5), now)
+	first := s.asks()[0]
+	now += agentWithin
+	b.lookAgain(now)
+	for i := 1; i < len(s.asks()); i++ {
+		deny(b, s.asks()[i], 5, FlagUnsure, now)
+	}
+	before := len(s.asks())
+	now += roundFirst
+	b.lookAgain(now)
+	if got := s.asks()[before:]; len(got) == 0 || got[0] != first {
+		t.Errorf("asked %v in the second round, want %v first", got, first)
+	}
+}
+
 // Guards against agents that are given a flow's packets before one whose availability
 // zone is out and that may hold it, and drops them.
 func TestLookupAsksAZoneThatIsOutFirst(t *testing.T) {
