Report a flow as held if its upstream does not bounce its packet

An agent that is started again beside its upstream passed a looked-up packet on and said in the same moment that it can't tell. The upstream holds the flow and works on the request, so it sends nothing yet; the lookup went on and gave the packet to six more upstreams within 12 ms, and to one after the next kill, so that for 2 s all that followed the owner's packet were others'. Change: where something listens at the upstream's address the agent waits for the bounce. A bounce that comes later still returns the packet, and the balancer looks the flow up again. Where nothing is known to listen the answer comes at once, as before.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -69,6 +69,7 @@
 	lastProbe        time.Duration // when the last probe began; 0: never
 	recorded         recordedState
 	pending          [maxPending]pending
+	bouncesAwaited   []awaitedBounce // the oldest first
 	lastScratch      uint32
 	sequence         uint32
 	lastStatus       time.Duration
@@ -265,6 +266,7 @@
 func (a *Agent) Tick(now time.Duration) time.Duration {
 	a.flows.rotate(now)
 	a.probe(now)
+	a.reportNotBounced(now)
 	if now-a.lastRecount >= recountInterval {
 		a.lastRecount = now
 		a.recount(now)
@@ -293,6 +295,9 @@
 		a.expirePreviousHomes(now)
 	}
 	at := min(a.lastStatus+StatusInterval, a.nextProbe())
+	if len(a.bouncesAwaited) > 0 {
+		at = min(at, a.bouncesAwaited[0].since+bounceTimeout)
+	}
 	for _, due := range []time.Duration{a.homesUpdateAt, a.homesSendAt} {
 		if due != 0 {
 			at = min(at, due)
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -77,12 +77,13 @@
 	case a.isEvacuated(k.Flow, now):
 		a.Count.Dropped++
 		return
-	case !known && a.upstream.state == UpstreamUnknown && !a.upstream.hasSent:
+	case !known && a.upstream.state == UpstreamUnknown && !a.upstream.hasSent && !a.upstream.listens:
 		a.forwardUnconfirmed(from, h, m, now)
 		return
 	case !known:
 		f = &flowState{phase: flowUnconfirmed, born: a.upstream.born, since: now}
 		a.flows.set(k.Flow, f)
+		a.awaitBounce(k.Flow, now)
 	case !a.isCurrentRun(f.born), a.upstream.state == UpstreamAbsent:
 		a.endLostFlow(k, f, now)
 		return
@@ -134,6 +135,44 @@
 	a.sendUpstream(p, pending{balancer: from, flags: h.Flags})
 }
 
+const (
+	// bounceTimeout is many times what a live upstream takes to bounce a packet, and short
+	// enough for the report to arrive before a balancer asks the next agent.
+	bounceTimeout = agentAnswerTimeout / 2
+	// maxBouncesAwaited bounds the packets that are waited for; further ones are only
+	// answered by what the upstream sends.
+	maxBouncesAwaited = 1024
+)
+
+// awaitedBounce is a packet of an unknown flow that the upstream may still bounce.
+type awaitedBounce struct {
+	flow  Flow
+	since time.Duration
+}
+
+// awaitBounce notes that a packet of an unknown flow is forwarded to the upstream.
+func (a *Agent) awaitBounce(f Flow, now time.Duration) {
+	if len(a.bouncesAwaited) < maxBouncesAwaited {
+		a.bouncesAwaited = append(a.bouncesAwaited, awaitedBounce{f, now})
+	}
+}
+
+// reportNotBounced reports flows as held here whose packets the upstream has not bounced in
+// time, unless it may have crashed. Such an upstream works on a request, and sends nothing
+// until it has the answer. Meanwhile the lookup would give the packet to other upstreams.
+// If the packet is bounced after all, the balancer is told and looks the flow up again.
+func (a *Agent) reportNotBounced(now time.Duration) {
+	q := a.bouncesAwaited
+	for len(q) > 0 && now-q[0].since >= bounceTimeout {
+		f, known := a.flows.get(q[0].flow)
+		if known && f.phase == flowUnconfirmed && f.lookupPending && a.upstream.state != UpstreamAbsent && !a.mayHaveCrashed(now) {
+			a.reportHeld(q[0].flow, f)
+		}
+		q = q[1:]
+	}
+	a.bouncesAwaited = q
+}
+
 // isEvacuated reports whether no more packets of the flow may be forwarded to the upstream
 // because its availability zone was evacuated some time ago.
 func (a *Agent) isEvacuated(f Flow, now time.Duration) bool {
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -172,3 +172,62 @@
 		})
 	}
 }
+
+// Guards against packets of a flow that reach other upstreams only. An agent that was
+// restarted beside a busy upstream has to report that the flow is there, although the
+// upstream sends nothing before its answer is ready, or the lookup goes on to other agents.
+func TestFlowIsHeldIfUpstreamDoesNotBounceIt(t *testing.T) {
+	const start = 300 * time.Millisecond
+	for name, x := range map[string]struct {
+		probe     ProbeResult
+		announced bool
+		bounced   bool
+		now       time.Duration
+		atOnce    Kind // answer before anything of the upstream arrives; 0: none
+		later     Kind // answer after bounceTimeout
+	}{
+		"listens, does not bounce":    {ProbeAccepted, false, false, start, 0, KindHeld},
+		"listens, bounces":            {ProbeAccepted, false, true, start, 0, KindNotHeld},
+		"announced, does not bounce":  {ProbeUnanswered, true, false, start, 0, KindHeld},
+		"may not run":                 {ProbeUnanswered, false, false, start, KindNotHeld, 0},
+		"announced long ago, crashed": {ProbeUnanswered, true, false, start + announcementTimeout, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRecorder(t)
+			a := &Agent{Service: 7, Format: plainFormat{}, Out: s, Keys: testKeys(t)}
+			a.Start()
+			a.HandleProbeResult(x.probe, time.Millisecond)
+			if x.announced {
+				a.HandleAnnouncement(&Announcement{Service: 7, Born: 5, Sequence: 9, Slots: 5}, start)
+			}
+			m := plainPacket(plainData, 9)
+			h := Message{Kind: KindPacket, Flags: FlagLookup}
+			h.Put(m, a.Keys[0])
+			answer := func() Kind {
+				defer func() { s.process = nil }()
+				if len(s.process) == 0 {
+					return 0
+				}
+				return s.process[0].Kind
+			}
+			a.HandleMessage(1, m, x.now)
+			a.Tick(x.now)
+			if k := answer(); k != x.atOnce || s.upstream != 1 {
+				t.Errorf("answered with message %v at once, want %v; %d packets forwarded", k, x.atOnce, s.upstream)
+			}
+			now := x.now + time.Millisecond
+			if x.bounced {
+				p, _ := plainFormat{}.Parse(m[HeaderLen:])
+				p.Scratch = a.lastScratch
+				a.handleBounced(p, m, now)
+			}
+			if due := a.Tick(now); s.process == nil && x.atOnce == 0 && due > x.now+bounceTimeout {
+				t.Errorf("next tick at %v, after the bounce is overdue", due)
+			}
+			a.Tick(x.now + bounceTimeout)
+			if k := answer(); k != x.later {
+				t.Errorf("answered with message %v later, want %v", k, x.later)
+			}
+		})
+	}
+}
