Let three balancers watch the store, and the others hear of changes from them

Word of living watchers travels with the statuses that are sent anyway (8 bytes); who hears none for 1.1 s (small fleet) or 2.6 s (91 balancers) volunteers, by rank; who can't get a configuration for a second reads the store. Records are read again by watchers alone, which remove those of the dead; elsewhere a record counts for 30 s. Statuses to far balancers have their own phase: in step, two of 91 that are near to none heard nothing for 4.8 s.

--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -23,6 +23,7 @@
 	zonesOut  map[ZoneKey]bool // shared with the balancer
 	byIP      map[IP]*agentView
 	byService map[ServiceKey][]*agentView
+	recordsAt time.Duration // when the records were last read
 }
 
 func newAgents() agents {
@@ -70,6 +71,7 @@
 // applyRecords stores the recorded members. For an agent that has sent a status, the status
 // takes precedence.
 func (x *agents) applyRecords(ms []Member, now time.Duration) {
+	x.recordsAt = now
 	for _, a := range x.byIP {
 		a.recorded = false
 	}
@@ -89,12 +91,21 @@
 	x.rebuildIndex()
 }
 
+// expire drops the agents that have sent nothing for expiryTime and have no record. A record
+// counts for as long after it was read, because only watchers of the store read the records
+// regularly. An agent that returns later announces itself.
 func (x *agents) expire(now time.Duration) {
+	dropped := false
 	for ip, a := range x.byIP {
-		if !a.recorded && now-a.lastSeen > expiryTime {
+		recorded := a.recorded && now-max(x.recordsAt, a.discovered) <= expiryTime
+		if !recorded && now-a.lastSeen > expiryTime {
 			delete(x.byIP, ip)
+			dropped = true
 		}
 	}
+	if dropped {
+		x.rebuildIndex()
+	}
 }
 
 func (x *agents) rebuildIndex() {
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -33,8 +33,6 @@
 	Observe observer
 	// LookupRate limits the messages per second that lookups send; 0 means the default.
 	LookupRate float64
-	// Detached is set while the store does not answer.
-	Detached bool
 	// OnNewerConfiguration is called when another process has a newer configuration.
 	OnNewerConfiguration func(from IP, v Version)
 
@@ -42,6 +40,9 @@
 	zonesOut         map[ZoneKey]bool
 	revision         uint64
 	leaving          bool
+	detached         bool // the store does not answer this balancer
+	watching         bool // this balancer is one of those that watch the store
+	watcherSeen      watcherSighting
 	membersRead      bool          // the member records were read since this process started
 	lastAgentMessage time.Duration // when the last message of any agent arrived
 	// lastIsolated is when it was last isolated, or resumed after a pause. 0 means never.
@@ -146,6 +147,10 @@
 	return true
 }
 
+// ZonesRevision returns the revision of the store as of which the evacuated availability zones
+// are known, or 0 if they are not.
+func (b *Balancer) ZonesRevision() uint64 { return b.revision }
+
 // SetMembers applies the recorded members. membersRead is true if they were read since this
 // process started, rather than up to some seconds before.
 func (b *Balancer) SetMembers(ms []Member, membersRead bool, now time.Duration) {
@@ -304,6 +309,7 @@
 		b.forgetTrackers()
 		b.expirePeers(now)
 		b.updateHomes(now)
+		b.updateWatching(now)
 	}
 	at := min(b.openings.nextDeadline(), b.lastStatus+StatusInterval)
 	if len(b.lookups.queue) > 0 {
--- a/datagram/decisions_test.go
+++ b/datagram/decisions_test.go
@@ -103,19 +103,17 @@
 		t.Run(name, func(t *testing.T) {
 			on := map[bool]int{}
 			for self := IP(101); self <= 107; self++ {
-				b := &Balancer{
-					Self: self, Format: plainFormat{}, Out: newRecorder(t), Keys: testKeys(t),
-					Detached: int(self) <= 100+x.detached,
-				}
+				b := &Balancer{Self: self, Format: plainFormat{}, Out: newRecorder(t), Keys: testKeys(t)}
 				b.Start()
+				b.SetDetached(int(self) <= 100+x.detached, 0)
 				for ip := IP(101); ip <= 107; ip++ {
 					m := (&BalancerStatus{Life: Life(ip), Detached: int(ip) <= 100+x.detached}).append(make([]byte, HeaderLen))
 					h := Message{Kind: KindBalancer}
 					h.Put(m, b.Keys[0])
 					b.HandleMessage(ip, m, time.Second)
 				}
-				if b.IsSelected(3, time.Second) {
-					on[b.Detached]++
+				if contains(b.selectedWatchers(time.Second), self) {
+					on[b.detached]++
 				}
 			}
 			if on[false] != x.attachedOnDuty || on[true] != x.detachedOnDuty {
--- a/datagram/log.go
+++ b/datagram/log.go
@@ -82,6 +82,16 @@
 	l.Log.Add(events.NearBalancersChanged, slog.Int("near", near), slog.Int("balancers", balancers), slog.Int("agents", agents))
 }
 
+// watchingChanged logs that this balancer begins or stops to watch the store, with its rank
+// among the balancers and the last that it heard of another watcher.
+func (l *Log) watchingChanged(watching bool, rank int, seen watcherSighting, now time.Duration) {
+	if l == nil || l.Log == nil {
+		return
+	}
+	l.Log.Add(events.StoreWatchChanged, slog.Bool("watching", watching), slog.Int("rank", rank),
+		slog.String("watcher", seen.ip.String()), slog.Duration("age", now-seen.at))
+}
+
 // entriesMissing logs that an agent is asked to send its flows again.
 func (l *Log) entriesMissing(ip IP, life Life) {
 	if l == nil || l.Log == nil {
--- a/datagram/observe.go
+++ b/datagram/observe.go
@@ -45,8 +45,12 @@
 	AgentsHeard   int            `json:"agentsHeard"`
 	AgentsDoubted int            `json:"agentsDoubted"`
 	Balancers     int            `json:"balancers"`
-	LinesLeftOut  uint64         `json:"linesLeftOut"`
-	Ready         bool           `json:"ready"`
+	// Watching: this balancer watches the store. WatcherAge is the time since another one that
+	// does was last known to be alive.
+	Watching     bool   `json:"watching"`
+	WatcherAge   Millis `json:"watcherAgeMs"`
+	LinesLeftOut uint64 `json:"linesLeftOut"`
+	Ready        bool   `json:"ready"`
 }
 
 // Status returns the balancer's state and counts.
@@ -55,6 +59,7 @@
 		Counts: b.Count, Version: b.ConfigurationVersion(), Revision: b.revision,
 		ZonesOut: len(b.zonesOut), Flows: b.flows.len(),
 		Agents: len(b.agents.byIP), Balancers: len(b.peers), Ready: b.Ready(),
+		Watching: b.watching, WatcherAge: MillisOf(now - b.watcherSeen.at),
 	}
 	for _, a := range b.agents.byIP {
 		if a.reachable(now) {
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -29,27 +29,6 @@
 	return ips
 }
 
-// IsSelected reports whether this balancer is one of the n that perform a duty that does
-// not need every balancer. Rendezvous hashing selects them among the live balancers.
-// Balancers that the store answers are selected first, because all these duties use the
-// store.
-func (b *Balancer) IsSelected(n int, now time.Duration) bool {
-	var attached, detached []IP
-	for _, ip := range b.aliveBalancers(now) {
-		if p := b.peers[ip]; p != nil && p.detached || p == nil && b.Detached {
-			detached = append(detached, ip)
-		} else {
-			attached = append(attached, ip)
-		}
-	}
-	chosen := highestRanked(selectionKey, attached, n)
-	chosen = append(chosen, highestRanked(selectionKey, detached, n-len(chosen))...)
-	return contains(chosen, b.Self)
-}
-
-// selectionKey is an arbitrary number that is the same on all balancers.
-const selectionKey = 0x64757479
-
 // updateHomes recomputes the balancers that are homes.
 func (b *Balancer) updateHomes(now time.Duration) {
 	b.homes = newHomeSet(b.balancersSeenWithin(homeTimeout(len(b.peers)+1), now))
@@ -108,6 +87,7 @@
 	b.discoverPeer(from, now)
 	p := b.peers[from]
 	p.detached = s.Detached
+	b.noteWatcher(&s, now)
 	if p.lastSeen = now; p.life != s.Life {
 		p.life = s.Life
 		b.sendStatusTo(from, now) // it has just started and knows few processes
@@ -167,8 +147,8 @@
 }
 
 // MembersToRemove returns the recorded members that this balancer considers dead and whose
-// records it has to remove. Rendezvous hashing assigns each dead member to one of the live
-// balancers.
+// records it has to remove. Rendezvous hashing assigns each dead member to one of the
+// watchers, as only these read the records regularly.
 //
 // Otherwise the records of dead VMs would stay forever, and after a power loss each of them
 // delays the resets of flows that are gone.
@@ -176,10 +156,13 @@
 	if now < deadMemberTimeout {
 		return nil
 	}
-	alive := b.aliveBalancers(now)
+	watchers := b.selectedWatchers(now)
+	if !contains(watchers, b.Self) {
+		return nil
+	}
 	var dead []IP
 	for _, m := range ms {
-		if b.isDead(m, now) && highestRanked(uint64(m.IP), slices.Clone(alive), 1)[0] == b.Self {
+		if b.isDead(m, now) && highestRanked(uint64(m.IP), slices.Clone(watchers), 1)[0] == b.Self {
 			dead = append(dead, m.IP)
 		}
 	}
@@ -212,10 +195,10 @@
 	}
 }
 
-// SendStatusToPeers sends the balancer's status to the other balancers when it has obtained
-// its first configuration.
+// SendStatusToPeers sends the balancer's status to all other balancers at once, for example
+// because it has a new configuration that they can fetch.
 func (b *Balancer) SendStatusToPeers(now time.Duration) {
-	m := b.statusMessage(peersPerStatus)
+	m := b.statusMessage(peersPerStatus, now)
 	for ip, p := range b.peers {
 		p.lastSent = now
 		b.Out.ToProcess(ip, m)
@@ -257,7 +240,7 @@
 // nearAfter or farAfter, depending on whether the process is near.
 func (b *Balancer) sendDueStatuses(now, nearAfter, farAfter time.Duration) {
 	b.lastStatus = now
-	m := b.statusMessage(peersPerStatus)
+	m := b.statusMessage(peersPerStatus, now)
 	for ip, a := range b.agents.byIP {
 		after := farAfter
 		if a.near() {
@@ -270,17 +253,28 @@
 	}
 	nearby := highestRanked(uint64(b.Self), slices.Collect(maps.Keys(b.peers)), nearPeerCount(len(b.peers)))
 	for ip, p := range b.peers {
-		after := farAfter
+		due := b.isFarStatusDue(ip, p.lastSent, farAfter, now)
 		if contains(nearby, ip) {
-			after = nearAfter
+			due = now-p.lastSent >= nearAfter
 		}
-		if now-p.lastSent >= after {
+		if due {
 			p.lastSent = now
 			b.Out.ToProcess(ip, m)
 		}
 	}
 }
 
+// isFarStatusDue reports whether a status to a far balancer is due. The statuses to each one
+// have their own phase: if those of balancers that started together, or that all broadcast a
+// change, stayed in step, a balancer that is near to none would receive nothing in between.
+func (b *Balancer) isFarStatusDue(to IP, lastSent, interval, now time.Duration) bool {
+	if interval == 0 {
+		return true
+	}
+	phase := time.Duration(score(uint64(b.Self), to) % uint64(interval))
+	return (now+phase)/interval > (lastSent+phase)/interval
+}
+
 // peersPerStatus is the number of balancers that each status lists, in rotation. A status
 // to a new process lists as many as fit.
 const peersPerStatus = 4
@@ -293,14 +287,15 @@
 	if p := b.peers[ip]; p != nil {
 		p.lastSent = now
 	}
-	b.Out.ToProcess(ip, b.statusMessage(maxBalancers))
+	b.Out.ToProcess(ip, b.statusMessage(maxBalancers, now))
 }
 
-func (b *Balancer) statusMessage(maxPeers int) []byte {
+func (b *Balancer) statusMessage(maxPeers int, now time.Duration) []byte {
 	s := BalancerStatus{
-		Life: b.Life, Version: b.ConfigurationVersion(), Revision: b.revision, Leaving: b.leaving, Detached: b.Detached,
+		Life: b.Life, Version: b.ConfigurationVersion(), Revision: b.revision, Leaving: b.leaving, Detached: b.detached,
 		Agents: uint16(min(len(b.agents.byIP), math.MaxUint16)), Homes: b.homes.digest,
 	}
+	s.Watcher, s.WatcherAge = b.latestWatcher(now)
 	for z := range b.zonesOut {
 		s.Zones = append(s.Zones, z)
 	}
--- a/datagram/status.go
+++ b/datagram/status.go
@@ -106,7 +106,11 @@
 	Agents uint16
 	// Homes is the digest of the balancers among which the sender chooses homes.
 	Homes uint64
-	Zones []ZoneKey
+	// Watcher is the balancer that watches the store and was alive last, as far as the sender
+	// knows, and WatcherAge how long ago that was; 0 if it knows of none.
+	Watcher    IP
+	WatcherAge Millis
+	Zones      []ZoneKey
 	// Balancers are some of those that the sender knows, or as many as fit if the receiver
 	// is new.
 	Balancers []IP
@@ -126,13 +130,15 @@
 	Detached         bool
 	Agents           uint16
 	Homes            uint64
+	Watcher          IP
+	WatcherAge       Millis
 	Zones, Balancers uint8
 }
 
 func (s *BalancerStatus) append(b []byte) []byte {
 	z, r := s.Zones[:min(len(s.Zones), maxZones)], s.Balancers[:min(len(s.Balancers), maxBalancers)]
 	h := balancerStatusHeader{
-		s.Life, s.Version, s.Revision, s.Leaving, s.Detached, s.Agents, s.Homes, uint8(len(z)), uint8(len(r)),
+		s.Life, s.Version, s.Revision, s.Leaving, s.Detached, s.Agents, s.Homes, s.Watcher, s.WatcherAge, uint8(len(z)), uint8(len(r)),
 	}
 	b, _ = binary.Append(b, binary.BigEndian, &h)
 	b, _ = binary.Append(b, binary.BigEndian, z)
@@ -148,7 +154,7 @@
 	}
 	*s = BalancerStatus{
 		Life: h.Life, Version: h.Version, Revision: h.Revision, Leaving: h.Leaving,
-		Detached: h.Detached, Agents: h.Agents, Homes: h.Homes,
+		Detached: h.Detached, Agents: h.Agents, Homes: h.Homes, Watcher: h.Watcher, WatcherAge: h.WatcherAge,
 	}
 	s.Zones, s.Balancers = make([]ZoneKey, h.Zones), make([]IP, h.Balancers)
 	return binary.Read(r, binary.BigEndian, s.Zones) == nil && binary.Read(r, binary.BigEndian, s.Balancers) == nil
--- a/events/events.go
+++ b/events/events.go
@@ -39,6 +39,7 @@
 	RecordNotRemoved     ID = 3104
 	EntriesMissing       ID = 3105
 	NearBalancersChanged ID = 3106
+	StoreWatchChanged    ID = 3107
 	RequestPlaced        ID = 2001
 	RequestPassed        ID = 2002
 	RequestRefused       ID = 2003
@@ -109,6 +110,7 @@
 	{RecordNotRemoved, "dead member's record could not be removed", slog.LevelInfo},
 	{EntriesMissing, "flows requested again from an agent", slog.LevelInfo},
 	{NearBalancersChanged, "near balancers changed", slog.LevelInfo},
+	{StoreWatchChanged, "store watch started or stopped", slog.LevelInfo},
 	{AnnouncementRefused, "upstream's announcement refused", slog.LevelWarn},
 	{RequestPlaced, "request placed", slog.LevelInfo},
 	{RequestPassed, "request passed on", slog.LevelInfo},
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -28,21 +28,25 @@
 	store    *store
 	ready    atomic.Bool
 	view     atomic.Pointer[View]
+	// The gates are open while this balancer follows the configuration and the evacuations in
+	// the store, and polls the member records there.
+	configurationGate, evacuationGate, memberGate gate
 	// newestVersion is the latest configuration version that any process has reported,
-	// and holder the process that reported it last. Only the loop uses them.
+	// holder the process that reported it last, and behindSince when this balancer began to
+	// lack it; 0: it does not. Only the loop uses them.
 	newestVersion datagram.Version
 	holder        datagram.IP
-	// offers passes the address of a process that has a configuration to syncWithPeers,
-	// while this balancer has none. One is enough, so further ones are dropped while it
-	// is not read.
+	behindSince   time.Duration
+	// offers passes the address of a process that has a newer configuration to
+	// syncWithPeers. One is enough, so further ones are dropped while it is not read.
 	offers chan datagram.IP
 	// roundsBehind counts the rounds of syncWithPeers since this balancer's configuration
 	// was the latest one known.
 	roundsBehind int
-	// watcherCheckedAt is when tick last checked whether this balancer uses short watches.
-	watcherCheckedAt time.Duration
-	ctx              context.Context
-	cancel           context.CancelFunc
+	// gatesUpdatedAt is when tick last updated the gates.
+	gatesUpdatedAt time.Duration
+	ctx            context.Context
+	cancel         context.CancelFunc
 }
 
 // NewBalancer creates a balancer and opens its UDP sockets.
@@ -69,17 +73,14 @@
 		if v >= b.newestVersion {
 			b.newestVersion, b.holder = v, from
 		}
-		if b.balancer.ConfigurationVersion() != 0 {
-			return // the store delivers it; if that fails, syncWithPeers fetches it
-		}
 		select {
 		case b.offers <- from:
 		default:
 		}
 	}
 	b.view.Store(&View{})
-	b.store.usesShortWatches.Store(true) // until other balancers are known
 	b.balancer.Start()
+	b.updateGates(0)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	return b, nil
 }
@@ -105,14 +106,34 @@
 func (b *Balancer) tick(now time.Duration) time.Duration {
 	at := b.balancer.Tick(now)
 	b.ready.Store(b.balancer.Ready())
-	if now-b.watcherCheckedAt >= datagram.StatusInterval {
-		// Not on each tick: IsSelected sorts the balancers, which change only with status messages.
-		b.watcherCheckedAt, b.balancer.Detached = now, b.store.detached.Load()
-		b.store.usesShortWatches.Store(b.balancer.IsSelected(shortWatcherCount, now))
+	if now-b.gatesUpdatedAt >= datagram.StatusInterval {
+		b.gatesUpdatedAt = now
+		b.balancer.SetDetached(b.store.detached(), now)
+		b.updateGates(now)
 	}
 	return at
 }
 
+// behindTimeout is how long other processes may have a newer configuration before this
+// balancer reads the store, because it failed to fetch the configuration from them.
+const behindTimeout = time.Second
+
+// updateGates opens the gates for what this balancer has to read from the store, and closes
+// the others. It must run on the loop.
+func (b *Balancer) updateGates(now time.Duration) {
+	switch {
+	case b.newestVersion <= b.balancer.ConfigurationVersion():
+		b.behindSince = 0
+	case b.behindSince == 0:
+		b.behindSince = now
+	}
+	watches := b.balancer.WatchesStore()
+	behind := b.behindSince != 0 && now-b.behindSince > behindTimeout
+	b.configurationGate.set(watches || behind || b.balancer.ConfigurationVersion() == 0)
+	b.evacuationGate.set(watches || b.balancer.ZonesRevision() == 0)
+	b.memberGate.set(watches)
+}
+
 // Run serves until stopped is done. It then reports that it is not ready, continues to
 // serve until routers have taken the balancer out of rotation, and returns.
 func (b *Balancer) Run(stopped context.Context) error {
@@ -142,11 +163,14 @@
 	return err
 }
 
+// sourceStore is logged as the source of what was read from the store, and not from a peer.
+const sourceStore = "store"
+
 // followConfiguration applies the configurations of the store until the program ends.
 func (b *Balancer) followConfiguration() {
-	b.store.follow(b.ctx, platform.KindConfiguration, func(all map[string]platform.Object, _ platform.Revision) {
+	b.store.follow(b.ctx, &b.configurationGate, platform.KindConfiguration, func(all map[string]platform.Object, _ platform.Revision) {
 		if o, ok := all[platform.ConfigurationName]; ok {
-			b.applyConfiguration(o, "store")
+			b.applyConfiguration(o, sourceStore)
 		}
 	})
 }
@@ -163,9 +187,10 @@
 		if !b.balancer.SetConfiguration(c) {
 			return
 		}
-		if first {
-			b.balancer.SendStatusToPeers(now) // balancers without a configuration can fetch it from this one
+		if first || from == sourceStore {
+			b.balancer.SendStatusToPeers(now) // other balancers can fetch it from this one
 		}
+		b.updateGates(now)
 		b.updateView(func(v *View) { v.Configuration = o })
 		b.log.Add(events.ConfigurationInForce, slog.Uint64("version", uint64(c.Version)),
 			slog.Uint64("revision", uint64(o.Meta.Revision)), slog.Int("routes", len(c.Routes)), slog.String("from", from))
@@ -174,8 +199,8 @@
 
 // followEvacuations applies the evacuations of the store until the program ends.
 func (b *Balancer) followEvacuations() {
-	b.store.follow(b.ctx, platform.KindEvacuation, func(all map[string]platform.Object, at platform.Revision) {
-		b.applyEvacuations(slices.Collect(maps.Values(all)), at, "store")
+	b.store.follow(b.ctx, &b.evacuationGate, platform.KindEvacuation, func(all map[string]platform.Object, at platform.Revision) {
+		b.applyEvacuations(slices.Collect(maps.Values(all)), at, sourceStore)
 	})
 }
 
@@ -187,19 +212,21 @@
 				v.Evacuations, v.EvacuationsAt = os, at
 			}
 		})
-		if b.balancer.SetZonesOut(platform.ZonesOut(os), uint64(at), now) {
+		changed := b.balancer.SetZonesOut(platform.ZonesOut(os), uint64(at), now)
+		b.updateGates(now)
+		if changed {
 			b.log.Add(events.ZonesChanged, slog.Int("out", len(os)), slog.Uint64("revision", uint64(at)), slog.String("from", from))
 		}
 	})
 }
 
-// memberListInterval is how often the member records are read again, in case an agent
-// could not reach this balancer itself. These reads accept stale data, which costs a
-// tenth of a current read.
+// memberListInterval is how often a balancer that watches the store reads the member records
+// again, to remove those of dead members. These reads accept stale data, which costs a tenth
+// of a current read.
 const memberListInterval = 10 * time.Second
 
-// pollMembers reads the member records at regular intervals until the program ends.
-// Only the first read has to be current.
+// pollMembers reads the member records, and reads them again at regular intervals while this
+// balancer watches the store, until the program ends. Only the first read has to be current.
 func (b *Balancer) pollMembers() {
 	var down bool
 	fresh := true
@@ -220,7 +247,7 @@
 			return err
 		})
 		fresh = false
-		if !clock.Sleep(b.ctx, memberListInterval) {
+		if !clock.Sleep(b.ctx, memberListInterval) || !b.memberGate.wait(b.ctx) {
 			return
 		}
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -28,6 +28,13 @@
 	return s
 }
 
+// openGate returns a gate that is open.
+func openGate() *gate {
+	var g gate
+	g.set(true)
+	return &g
+}
+
 // createObject creates an object in the store.
 func createObject(t *testing.T, s *store, k platform.Kind, name string) platform.Object {
 	t.Helper()
@@ -59,13 +66,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := &stallingStore{Platform: &standin.Platform{}}
 		s := testStore(p)
-		s.usesShortWatches.Store(true)
 		ctx, stop := context.WithCancel(t.Context())
 		known := map[string]time.Duration{}
 		start := time.Now()
 		done := make(chan struct{})
 		go func() {
-			s.follow(ctx, platform.KindEvacuation, func(all map[string]platform.Object, _ platform.Revision) {
+			s.follow(ctx, openGate(), platform.KindEvacuation, func(all map[string]platform.Object, _ platform.Revision) {
 				for n := range all {
 					if _, ok := known[n]; !ok {
 						known[n] = time.Since(start)
@@ -86,7 +92,7 @@
 		time.Sleep(8 * time.Second)
 		stop()
 		<-done
-		if known["zone-a"] > 1100*time.Millisecond || known["zone-b"] == 0 || known["zone-b"]-changed > shortWatchWait+storeTimeout {
+		if known["zone-a"] > 1100*time.Millisecond || known["zone-b"] == 0 || known["zone-b"]-changed > watchWait+storeTimeout {
 			t.Errorf("objects were known after %v", known)
 		}
 	})
@@ -101,7 +107,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
-			s.follow(ctx, platform.KindEvacuation, func(map[string]platform.Object, platform.Revision) {})
+			s.follow(ctx, openGate(), platform.KindEvacuation, func(map[string]platform.Object, platform.Revision) {})
 			close(done)
 		}()
 		time.Sleep(10 * time.Minute)
@@ -208,7 +214,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := httptest.NewServer(viewHandler(x.server, func() View { return want }))
 			defer s.Close()
-			v, err := fetchView(t.Context(), x.client, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")))
+			v, err := fetchView(t.Context(), x.client, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")), viewPath)
 			if (err == nil) != x.ok || x.ok && v.EvacuationsAt != 9 {
 				t.Errorf("the fetched view is %+v, error %v", v, err)
 			}
@@ -304,7 +310,7 @@
 		var read time.Duration
 		done := make(chan struct{})
 		go func() {
-			s.follow(ctx, platform.KindConfiguration, func(map[string]platform.Object, platform.Revision) {
+			s.follow(ctx, openGate(), platform.KindConfiguration, func(map[string]platform.Object, platform.Revision) {
 				if read == 0 {
 					read = time.Since(start)
 				}
@@ -338,8 +344,8 @@
 	var down bool
 	for _, x := range []error{nil, platform.ErrDown, nil} {
 		s.trackOutcome(&down, platform.KindConfiguration, x)
-		if s.detached.Load() != (x != nil) {
-			t.Errorf("after a call with error %v, detached is %t", x, s.detached.Load())
+		if s.detached() != (x != nil) {
+			t.Errorf("after a call with error %v, detached is %t", x, s.detached())
 		}
 	}
 }
--- a/node/store.go
+++ b/node/store.go
@@ -26,20 +26,13 @@
 	// nothing yet. It applies only for eagerPeriod, so that an outage causes few calls.
 	eagerMaxDelay = 150 * time.Millisecond
 	eagerPeriod   = 8 * time.Second
-	// shortWatchWait and longWatchWait are the longest waits of short and long watches.
-	// A watch can miss a change for good: the store may drop its history while the watch
-	// waits, or the connection may hang. Therefore a few balancers, chosen by rendezvous
-	// hashing, use short watches. They detect such a change with their next watch and
-	// notify the others. The others use long watches, because each watch is a call to the
-	// store. With shortWatchWait, a missed change is still applied within the time that
-	// operators are promised.
-	shortWatchWait = 3 * time.Second
-	longWatchWait  = 16 * time.Second
+	// watchWait is the longest wait of a watch. A watch can miss a change for good: the store
+	// may drop its history while the watch waits, or the connection may hang. Such a change
+	// is detected by the next watch, within the time that operators are promised.
+	watchWait = 3 * time.Second
 	// watchGrace is how much longer than its wait a watch may take: a few times the
 	// response time of a slow store. On a hanging connection it delays the next attempt.
 	watchGrace = time.Second
-	// shortWatcherCount is how many balancers use short watches.
-	shortWatcherCount = 3
 	// initialRetryDelay and maxRetryDelay are the first and the longest delay between
 	// calls to a store that does not answer. With at most a second, what operators wrote
 	// during an outage is still applied within the time that they are promised.
@@ -51,10 +44,8 @@
 type store struct {
 	current atomic.Pointer[platform.Client]
 	log     *events.Log
-	// usesShortWatches is true if this balancer is one of those that use short watches.
-	usesShortWatches atomic.Bool
-	// detached is true if the last read failed.
-	detached atomic.Bool
+	// failing counts the kinds whose last read failed.
+	failing atomic.Int32
 }
 
 func newStore(s *platform.Settings, l *events.Log) *store {
@@ -63,15 +54,6 @@
 	return x
 }
 
-// watchWait returns how long the next watch waits, with jitter.
-func (s *store) watchWait() time.Duration {
-	w := longWatchWait
-	if s.usesShortWatches.Load() {
-		w = shortWatchWait
-	}
-	return w/2 + rand.N(w/2)
-}
-
 // updateAddress updates the store's address from the settings.
 func (s *store) updateAddress(x *platform.Settings) {
 	if c := s.current.Load(); c != nil && c.URL == x.Store {
@@ -129,44 +111,49 @@
 	}
 }
 
-// trackOutcome records in failing and detached whether a read of the kind failed. It logs
-// the first failure after a success, and the first success after a failure.
+// detached reports whether the last read of any kind failed.
+func (s *store) detached() bool { return s.failing.Load() > 0 }
+
+// trackOutcome records in failing whether a read of the kind failed. It logs the first
+// failure after a success, and the first success after a failure.
 func (s *store) trackOutcome(failing *bool, k platform.Kind, err error) {
 	switch {
 	case err != nil && !*failing:
+		s.failing.Add(1)
 		s.log.Add(events.PlatformDown, slog.String("kind", string(k)), slog.String("error", err.Error()))
 	case err == nil && *failing:
+		s.failing.Add(-1)
 		s.log.Add(events.PlatformUp, slog.String("kind", string(k)))
 	}
 	*failing = err != nil
-	s.detached.Store(*failing)
 }
 
-// follow lists and then watches all objects of a kind until the context ends. It calls
-// onUpdate with the objects by name, and their revision, after each list and watch.
-func (s *store) follow(ctx context.Context, k platform.Kind, onUpdate func(map[string]platform.Object, platform.Revision)) {
+// follow lists and then watches all objects of a kind while the gate is open, until the
+// context ends. It calls onUpdate with the objects by name, and their revision, after each
+// list and watch.
+func (s *store) follow(ctx context.Context, g *gate, k platform.Kind, onUpdate func(map[string]platform.Object, platform.Revision)) {
 	var at platform.Revision
-	var down bool
+	var failing bool
 	all := map[string]platform.Object{}
 	t := newBackoff()
-	for ctx.Err() == nil {
-		retry(ctx, &t, func() error {
-			x, err := s.listOrWatch(ctx, k, at, t.timeout(), all)
-			if errors.Is(err, platform.ErrGone) || err == nil && x < at {
-				// The store has dropped the history, or its answer is older than the
-				// known state: list everything again.
-				at = 0
-				return err
-			}
-			if ctx.Err() == nil {
-				s.trackOutcome(&down, k, err)
-			}
+	for g.wait(ctx) {
+		x, err := s.listOrWatch(ctx, k, at, t.timeout(), all)
+		if gone := errors.Is(err, platform.ErrGone) || err == nil && x < at; gone {
+			// The store has dropped the history, or its answer is older than the known state:
+			// list everything again.
+			at = 0
+		} else if ctx.Err() == nil {
+			s.trackOutcome(&failing, k, err)
 			if err == nil {
+				t.reset()
 				at = x
 				onUpdate(all, at)
+				continue
 			}
-			return err
-		})
+		}
+		if !clock.Sleep(ctx, t.nextDelay()) {
+			return
+		}
 	}
 }
 
@@ -186,7 +173,7 @@
 		}
 		return l.At, nil
 	}
-	wait := s.watchWait()
+	wait := watchWait/2 + rand.N(watchWait/2)
 	ctx, stop := context.WithTimeout(ctx, wait+watchGrace)
 	defer stop()
 	x, err := s.client().Watch(ctx, k, at, wait)
