Remove an agent's records with the revisions that it knows

Cause: a released upstream cost six calls to the store: its record, that it drains, and then a read and a removal of each, although the agent had written both and knew their revisions; one that never drained was read for nothing. Change: writes and reads return the revision of the record, and the agent removes with it, which fails as before if a new VM has replaced the record. It reads first only where a write or read of this run has not succeeded.

--- a/node/agent.go
+++ b/node/agent.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,8 +27,12 @@
 	link     *net.UDPConn
 	outbound *net.UDPConn
 	store    *store
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// recordAt and drainingAt are the revisions of this agent's records in the store; 0: not
+	// known. recordsRead is set once both are as in the store.
+	recordAt, drainingAt atomic.Uint64
+	recordsRead          atomic.Bool
+	ctx                  context.Context
+	cancel               context.CancelFunc
 }
 
 // NewAgent creates an agent and opens its UDP sockets.
@@ -49,9 +54,7 @@
 		Format: platform.PacketFormat{}, Out: a, Keys: b.keys, Log: &datagram.Log{Log: b.log, MaxLines: o.Lines}, Observe: b.observe, Evacuation: b.settings.Evacuation,
 	}
 	a.agent.Probe = func() { go a.probe() }
-	a.agent.OnDrain = func() {
-		go a.store.putDraining(a.ctx, a.recordName(), platform.Draining{Upstream: a.settings.Upstream.String()})
-	}
+	a.agent.OnDrain = func() { go a.recordDraining() }
 	a.agent.Start()
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a, nil
@@ -152,16 +155,42 @@
 // writeRecord writes the agent's record to the store. If the store already has a record,
 // an earlier run may have recorded that the upstream drains, and that state is restored.
 func (a *Agent) writeRecord() {
+	at, created := a.store.putRecord(a.ctx, a.recordName(), a.record())
+	a.recordAt.Store(uint64(at))
 	draining := false
-	if !a.store.putRecord(a.ctx, a.recordName(), a.record()) {
-		var ok bool
-		if draining, ok = a.store.readDraining(a.ctx, a.recordName()); !ok {
+	if !created {
+		at, ok := a.store.readDraining(a.ctx, a.recordName())
+		if !ok {
 			return
 		}
+		draining = at != 0
+		a.drainingAt.CompareAndSwap(0, uint64(at))
 	}
+	a.recordsRead.Store(true)
 	a.loop.do(a.ctx, func(time.Duration) { a.agent.SetRecordedDraining(draining) })
 }
 
+// recordDraining records that the upstream drains.
+func (a *Agent) recordDraining() {
+	at := a.store.putDraining(a.ctx, a.recordName(), platform.Draining{Upstream: a.settings.Upstream.String()})
+	a.drainingAt.Store(uint64(at))
+}
+
+// removeRecords removes what the store has of this agent. What the agent wrote or read itself
+// costs a single call, or none.
+func (a *Agent) removeRecords(ctx context.Context) {
+	if at := a.recordAt.Load(); at != 0 {
+		a.store.remove(ctx, platform.KindProcess, a.recordName(), platform.Revision(at))
+	} else {
+		a.store.removeRecord(ctx, a.recordName(), a.record())
+	}
+	if at := a.drainingAt.Load(); at != 0 {
+		a.store.remove(ctx, platform.KindDraining, a.recordName(), platform.Revision(at))
+	} else if !a.recordsRead.Load() {
+		a.store.removeDraining(ctx, a.recordName())
+	}
+}
+
 // applySettings updates the store's address from the settings and adds the seeds as
 // balancers, to which the agent sends its status.
 func (a *Agent) applySettings(s *platform.Settings) {
@@ -186,8 +215,7 @@
 	if s == datagram.UpstreamGone || s == datagram.UpstreamAbsent {
 		ctx, stop := context.WithTimeout(a.ctx, a.live.Load().Grace/2)
 		defer stop()
-		a.store.removeRecord(ctx, a.recordName(), a.record())
-		a.store.removeDraining(ctx, a.recordName())
+		a.removeRecords(ctx)
 		return nil
 	}
 	clock.Sleep(a.ctx, leaveDelay)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -147,9 +147,9 @@
 				x.before(t.Context(), s)
 				p.SetFaults(standin.Faults{Outage: x.outage > 0})
 				time.AfterFunc(x.outage, func() { p.SetFaults(standin.Faults{}) })
-				found, ok := s.readDraining(t.Context(), "agent-10.0.0.1")
-				if found != x.want || !ok {
-					t.Errorf("found is %t, ok is %t", found, ok)
+				at, ok := s.readDraining(t.Context(), "agent-10.0.0.1")
+				if (at != 0) != x.want || !ok {
+					t.Errorf("the record has revision %d, ok is %t", at, ok)
 				}
 			})
 		})
@@ -180,14 +180,15 @@
 					}
 				}
 				p.SetFaults(standin.Faults{LoseAnswers: x.lost})
-				if s.putRecord(t.Context(), "agent-10.0.0.1", mine) && x.before != nil {
+				at, created := s.putRecord(t.Context(), "agent-10.0.0.1", mine)
+				if created && x.before != nil {
 					t.Error("an earlier run's record was reported as created")
 				}
 				p.SetFaults(standin.Faults{})
 				o, err := s.client().Get(t.Context(), platform.KindProcess, "agent-10.0.0.1")
 				var got platform.Process
-				if err != nil || json.Unmarshal(o.Spec, &got) != nil || got != mine {
-					t.Errorf("the record is %+v, error %v", got, err)
+				if err != nil || json.Unmarshal(o.Spec, &got) != nil || got != mine || o.Meta.Revision != at {
+					t.Errorf("the record is %+v at revision %d, want %d, error %v", got, o.Meta.Revision, at, err)
 				}
 				s.removeRecord(t.Context(), "agent-10.0.0.1", other)
 				if _, err := s.client().Get(t.Context(), platform.KindProcess, "agent-10.0.0.1"); err != nil {
--- a/node/store.go
+++ b/node/store.go
@@ -190,57 +190,71 @@
 	return x.At, nil
 }
 
-// putRecord writes the record to the store, replaces any other one, and reports whether it
-// created the record.
+// putRecord writes the record to the store and replaces any other one. It returns the revision
+// of the record, or 0 if the context ends first, and whether it created the record.
 //
 // The record may exist already because the answer to an earlier write was lost after the
 // write took effect, or because an earlier VM had the same address. The store then refuses
 // to create it and returns the existing one. putRecord keeps that one if it is equal, and
 // otherwise replaces it, unless its revision has changed.
-func (s *store) putRecord(ctx context.Context, name string, p platform.Process) (created bool) {
+func (s *store) putRecord(ctx context.Context, name string, p platform.Process) (at platform.Revision, created bool) {
 	t := newBackoff()
 	retry(ctx, &t, func() error {
 		o, err := s.client().Create(ctx, platform.KindProcess, name, p)
-		if !errors.Is(err, platform.ErrConflict) {
-			created = err == nil
-			return err
+		created = err == nil
+		if errors.Is(err, platform.ErrConflict) {
+			var existing platform.Process
+			if err = json.Unmarshal(o.Spec, &existing); err != nil || existing != p {
+				o, err = s.client().Update(ctx, platform.KindProcess, name, p, o.Meta.Revision)
+			}
 		}
-		var existing platform.Process
-		if json.Unmarshal(o.Spec, &existing) == nil && existing == p {
-			return nil
+		if err == nil {
+			at = o.Meta.Revision
 		}
-		_, err = s.client().Update(ctx, platform.KindProcess, name, p, o.Meta.Revision)
 		return err
 	})
-	return created
+	return at, created
 }
 
-// putDraining records that an upstream drains. An existing record is kept.
-func (s *store) putDraining(ctx context.Context, name string, d platform.Draining) {
+// putDraining records that an upstream drains. An existing record is kept. It returns the
+// revision of the record, or 0 if the context ends first.
+func (s *store) putDraining(ctx context.Context, name string, d platform.Draining) (at platform.Revision) {
 	t := newBackoff()
 	retry(ctx, &t, func() error {
-		_, err := s.client().Create(ctx, platform.KindDraining, name, d)
-		if errors.Is(err, platform.ErrConflict) {
+		o, err := s.client().Create(ctx, platform.KindDraining, name, d)
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			at = o.Meta.Revision
 			return nil
 		}
 		return err
 	})
+	return at
 }
 
-// readDraining reads whether there is a record that the upstream drains. ok is false if the
-// context ends first.
-func (s *store) readDraining(ctx context.Context, name string) (found, ok bool) {
+// readDraining returns the revision of the record that the upstream drains, or 0 if there is
+// none. ok is false if the context ends first.
+func (s *store) readDraining(ctx context.Context, name string) (at platform.Revision, ok bool) {
 	t := newBackoff()
 	ok = retry(ctx, &t, func() error {
 		ctx, stop := context.WithTimeout(ctx, t.timeout())
 		defer stop()
-		_, err := s.client().Get(ctx, platform.KindDraining, name)
-		if found = err == nil; errors.Is(err, platform.ErrNotFound) {
+		o, err := s.client().Get(ctx, platform.KindDraining, name)
+		at = o.Meta.Revision
+		if errors.Is(err, platform.ErrNotFound) {
 			return nil
 		}
 		return err
 	})
-	return found, ok
+	return at, ok
+}
+
+// remove deletes an object that still has the given revision. It logs a failure, unless the
+// object is gone or has been replaced.
+func (s *store) remove(ctx context.Context, k platform.Kind, name string, at platform.Revision) {
+	err := s.client().Delete(ctx, k, name, at)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+		s.log.Add(events.PlatformDown, slog.String("kind", string(k)), slog.String("error", err.Error()))
+	}
 }
 
 // removeDraining deletes the record that an upstream drains, after the upstream has ended.
@@ -248,10 +262,10 @@
 // heartbeat.
 func (s *store) removeDraining(ctx context.Context, name string) {
 	o, err := s.client().Get(ctx, platform.KindDraining, name)
-	if err == nil {
-		err = s.client().Delete(ctx, platform.KindDraining, name, o.Meta.Revision)
-	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	switch {
+	case err == nil:
+		s.remove(ctx, platform.KindDraining, name, o.Meta.Revision)
+	case !errors.Is(err, platform.ErrNotFound):
 		s.log.Add(events.PlatformDown, slog.String("kind", string(platform.KindDraining)), slog.String("error", err.Error()))
 	}
 }
@@ -263,7 +277,5 @@
 	if err != nil || json.Unmarshal(o.Spec, &existing) != nil || existing != p {
 		return
 	}
-	if err := s.client().Delete(ctx, platform.KindProcess, name, o.Meta.Revision); err != nil {
-		s.log.Add(events.PlatformDown, slog.String("kind", string(platform.KindProcess)), slog.String("error", err.Error()))
-	}
+	s.remove(ctx, platform.KindProcess, name, o.Meta.Revision)
 }
