List other balancers only to processes that know few of them

Cause: when all processes return, each balancer sends its status to each other process about three times, and to new ones it listed all balancers: of 32 MB that a fleet of 91 + 204 sends in the second of its return 25 MB were these (trial with a count by kind). That second and a fleet's start are also most of its bytes between zones. Change: statuses say how many balancers their sender knows. One who knows less than half gets a full list, as does one whose homes differ for long; the others get four, in rotation.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -354,6 +355,7 @@
 		Interval: MillisOf(interval), State: a.upstream.state, Leaving: a.leaving, Slots: uint16(a.upstream.slots),
 		Flows: uint16(max(0, min(a.openFlows, 1<<16-1))), UnderWay: uint16(max(0, min(a.underWay, 1<<16-1))),
 		Homes: a.homes.digest, Epoch: b.epoch, Entries: b.entries, KnowsAll: a.knowsAllFlows(now),
+		Balancers: uint16(min(len(a.balancers), math.MaxUint16)),
 	}
 	if s.State == UpstreamReady && a.upstream.isSilent(now) {
 		s.State = UpstreamSilent
--- a/datagram/message_test.go
+++ b/datagram/message_test.go
@@ -53,7 +53,7 @@
 		t.Errorf("agent status decoded as %+v", got)
 	}
 	b := BalancerStatus{
-		Life: 1, Version: 2, Revision: 3, Leaving: true, Detached: true, Agents: 9, Homes: 10, Watcher: 11, WatcherAge: 12,
+		Life: 1, Version: 2, Revision: 3, Leaving: true, Detached: true, Agents: 9, Homes: 10, Watcher: 11, WatcherAge: 12, Known: 13,
 		Zones: []ZoneKey{4, 5}, Balancers: []IP{6, 7, 8},
 	}
 	var back BalancerStatus
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -13,6 +13,7 @@
 	discovered         time.Duration // when it became known
 	lastSeen, lastSent time.Duration // last status received from it and sent to it; 0: never
 	detached           bool          // it reports that the store does not answer it
+	known              int           // how many balancers it knows
 	mismatch           homesMismatch
 }
 
@@ -86,7 +87,7 @@
 	}
 	b.discoverPeer(from, now)
 	p := b.peers[from]
-	p.detached = s.Detached
+	p.detached, p.known = s.Detached, int(s.Known)
 	b.noteWatcher(&s, now)
 	if p.lastSeen = now; p.life != s.Life {
 		p.life = s.Life
@@ -133,7 +134,7 @@
 	interval := mismatchInterval + time.Duration(len(b.agents.byIP))*mismatchIntervalPerAgent
 	if now-d.since >= mismatchDelay && (d.lastSent == 0 || now-d.lastSent >= interval) {
 		d.lastSent = now
-		b.sendStatusTo(to, now)
+		b.sendStatusWith(to, maxBalancers, now)
 	}
 }
 
@@ -211,16 +212,21 @@
 	due := func(lastSeen, discovered, lastSent time.Duration) bool {
 		return lastSent == 0 || lastSeen == 0 && now-discovered < newMemberPeriod && now-lastSent >= StatusInterval
 	}
+	var to []IP
 	for ip, a := range b.agents.byIP {
 		if due(a.lastSeen, a.discovered, a.statusSent) {
-			b.sendStatusTo(ip, now)
+			to = append(to, ip)
 		}
 	}
 	for ip, p := range b.peers {
 		if due(p.lastSeen, p.discovered, p.lastSent) {
-			b.sendStatusTo(ip, now)
+			to = append(to, ip)
 		}
 	}
+	slices.Sort(to) // the lists rotate from one status to the next, so a repeated simulation needs the same order
+	for _, ip := range to {
+		b.sendStatusTo(ip, now)
+	}
 }
 
 // newMemberPeriod is how long sendStatusToNew keeps sending to a process that has sent no
@@ -275,25 +281,47 @@
 	return (now+phase)/interval > (lastSent+phase)/interval
 }
 
-// peersPerStatus is the number of balancers that each status lists, in rotation. A status
-// to a new process lists as many as fit.
+// peersPerStatus is the number of balancers that a status lists, in rotation.
 const peersPerStatus = 4
 
-// sendStatusTo sends the status to one process, with as many balancers as fit.
+// sendStatusTo sends the status to one process. It lists as many balancers as fit if the
+// process is known to know less than half of them. If all VMs start together, each process
+// receives a status of every balancer, and full lists in all of them would fill the links.
 func (b *Balancer) sendStatusTo(ip IP, now time.Duration) {
+	n := peersPerStatus
+	if known, ok := b.knownBy(ip); ok && 2*known < len(b.peers)+1 {
+		n = maxBalancers
+	}
+	b.sendStatusWith(ip, n, now)
+}
+
+// knownBy returns how many balancers a process knows, if it has sent a status.
+func (b *Balancer) knownBy(ip IP) (known int, ok bool) {
+	if a := b.agents.byIP[ip]; a != nil {
+		return int(a.status.Balancers), a.lastSeen != 0
+	}
+	if p := b.peers[ip]; p != nil {
+		return p.known, p.lastSeen != 0
+	}
+	return 0, false
+}
+
+// sendStatusWith sends the status, which lists up to n balancers, to one process.
+func (b *Balancer) sendStatusWith(ip IP, n int, now time.Duration) {
 	if a := b.agents.byIP[ip]; a != nil {
 		a.statusSent = now
 	}
 	if p := b.peers[ip]; p != nil {
 		p.lastSent = now
 	}
-	b.Out.ToProcess(ip, b.statusMessage(maxBalancers, now))
+	b.Out.ToProcess(ip, b.statusMessage(n, now))
 }
 
 func (b *Balancer) statusMessage(maxPeers int, now time.Duration) []byte {
 	s := BalancerStatus{
 		Life: b.Life, Version: b.ConfigurationVersion(), Revision: b.revision, Leaving: b.leaving, Detached: b.detached,
 		Agents: uint16(min(len(b.agents.byIP), math.MaxUint16)), Homes: b.homes.digest,
+		Known: uint16(min(len(b.peers)+1, math.MaxUint16)),
 	}
 	s.Watcher, s.WatcherAge = b.latestWatcher(now)
 	for z := range b.zonesOut {
--- a/datagram/status.go
+++ b/datagram/status.go
@@ -63,9 +63,11 @@
 	Epoch, Entries uint32
 	// KnowsAll: the agent knows every flow of its upstream.
 	KnowsAll bool
+	// Balancers is the number of balancers that the agent knows.
+	Balancers uint16
 }
 
-const agentStatusLen = 8 + 4 + 4 + 8 + 8 + 1 + 1 + 2 + 2 + 2 + 4 + 4 + 8 + 4 + 4 + 1
+const agentStatusLen = 8 + 4 + 4 + 8 + 8 + 1 + 1 + 2 + 2 + 2 + 4 + 4 + 8 + 4 + 4 + 1 + 2
 
 func (s *AgentStatus) append(b []byte) []byte {
 	b, _ = binary.Append(b, binary.BigEndian, s) // a fixed-size struct can't fail
@@ -110,9 +112,11 @@
 	// knows, and WatcherAge how long ago that was; 0 if it knows of none.
 	Watcher    IP
 	WatcherAge Millis
-	Zones      []ZoneKey
+	// Known is the number of balancers that the sender knows, itself included.
+	Known uint16
+	Zones []ZoneKey
 	// Balancers are some of those that the sender knows, or as many as fit if the receiver
-	// is new.
+	// knows few.
 	Balancers []IP
 }
 
@@ -132,13 +136,14 @@
 	Homes            uint64
 	Watcher          IP
 	WatcherAge       Millis
+	Known            uint16
 	Zones, Balancers uint8
 }
 
 func (s *BalancerStatus) append(b []byte) []byte {
 	z, r := s.Zones[:min(len(s.Zones), maxZones)], s.Balancers[:min(len(s.Balancers), maxBalancers)]
 	h := balancerStatusHeader{
-		s.Life, s.Version, s.Revision, s.Leaving, s.Detached, s.Agents, s.Homes, s.Watcher, s.WatcherAge, uint8(len(z)), uint8(len(r)),
+		s.Life, s.Version, s.Revision, s.Leaving, s.Detached, s.Agents, s.Homes, s.Watcher, s.WatcherAge, s.Known, uint8(len(z)), uint8(len(r)),
 	}
 	b, _ = binary.Append(b, binary.BigEndian, &h)
 	b, _ = binary.Append(b, binary.BigEndian, z)
@@ -154,7 +159,7 @@
 	}
 	*s = BalancerStatus{
 		Life: h.Life, Version: h.Version, Revision: h.Revision, Leaving: h.Leaving,
-		Detached: h.Detached, Agents: h.Agents, Homes: h.Homes, Watcher: h.Watcher, WatcherAge: h.WatcherAge,
+		Detached: h.Detached, Agents: h.Agents, Homes: h.Homes, Watcher: h.Watcher, WatcherAge: h.WatcherAge, Known: h.Known,
 	}
 	s.Zones, s.Balancers = make([]ZoneKey, h.Zones), make([]IP, h.Balancers)
 	return binary.Read(r, binary.BigEndian, s.Zones) == nil && binary.Read(r, binary.BigEndian, s.Balancers) == nil
--- a/experiment/cadence_test.go
+++ b/experiment/cadence_test.go
@@ -62,3 +62,25 @@
 		t.Errorf("received the status of %d agents within 0.1 s, want 180", s.AgentsHeard)
 	}
 }
+
+// Guards against links of small VMs that are full when all VMs return at once: every process
+// then sends statuses to every other one, and those of balancers listed all balancers.
+func TestReturnOfAllProcessesSendsFewBytes(t *testing.T) {
+	const (
+		balancers, agents = 91, 204
+		statuses          = 4   // from each other process, within two seconds
+		statusBytes       = 160 // with headers, and a few balancers
+	)
+	w := newSite(t, 1, balancers, agents, 0)
+	w.killAll(time.Second)
+	w.runUntil(w.now + 900*time.Millisecond)
+	w.controlBytes = map[datagram.IP]int{}
+	w.runUntil(w.now + 2100*time.Millisecond)
+	most := 0
+	for _, n := range w.controlBytes {
+		most = max(most, n)
+	}
+	if bound := (balancers + agents) * statuses * statusBytes; most > bound {
+		t.Errorf("a VM receives %d B of control messages, want at most %d", most, bound)
+	}
+}
