Notice a cut within half of the interval of far statuses

In step they had all the same age, which was luck either way. Change: with spread statuses an earlier limit is safe: fewer than half of those that are expected within three quarters of the interval means cut off. TestLostPeersFollowsTheStatuses is red with the limit before.

--- a/datagram/cutoff.go
+++ b/datagram/cutoff.go
@@ -61,7 +61,8 @@
 // but none recently. Far agents may send less often, but among many of them some send in
 // time.
 func (b *Balancer) lostAgents(s ServiceKey, now time.Duration) bool {
-	known, limit := false, b.peerLossTimeout()
+	known := false
+	limit, _ := b.peerLossTimeout()
 	for _, a := range b.agents.byService[s] {
 		if a.reachable(now) && now-a.lastSeen <= limit {
 			return false
@@ -71,11 +72,11 @@
 	return known
 }
 
-// lostPeers reports whether fewer than half of the balancers that have sent a status in the
-// last half minute still send them. After a pause it is false until the others have had
-// time to send.
+// lostPeers reports whether the statuses of fewer than half of the balancers arrive that have
+// sent one in the last half minute. After a pause it is false until the others have had time
+// to send.
 func (b *Balancer) lostPeers(now time.Duration) bool {
-	after := b.peerLossTimeout()
+	after, share := b.peerLossTimeout()
 	if now-b.resumed < after {
 		return false
 	}
@@ -88,16 +89,21 @@
 			recent++
 		}
 	}
-	return 2*recent < known
+	return 2*float64(recent) < share*float64(known)
 }
 
-// peerLossTimeout is the time after which a balancer counts as lost in lostPeers. Where
-// most balancers are far, one missed status of each is enough, because they are many.
-func (b *Balancer) peerLossTimeout() time.Duration {
+// farRecentShare is the share of the far interval after which a status is no longer recent in
+// lostPeers. The statuses of the balancers are spread over the interval, so while all arrive
+// this share of them is recent. A smaller share detects a cut earlier and is less certain.
+const farRecentShare = 0.75
+
+// peerLossTimeout is the time after which a balancer's status is no longer recent in
+// lostPeers, and the share of all balancers whose statuses are recent while all arrive.
+func (b *Balancer) peerLossTimeout() (after time.Duration, share float64) {
 	if nearPeerCount(len(b.peers)) < len(b.peers) {
-		return farInterval(len(b.peers)+1) + 2*StatusInterval + deliveryMargin
+		return time.Duration(farRecentShare*float64(farInterval(len(b.peers)+1))) + deliveryMargin, farRecentShare
 	}
-	return b.peerTimeout()
+	return b.peerTimeout(), 1
 }
 
 // peerTimeout is how long another balancer may be silent before it is considered gone. It
--- a/datagram/silence_test.go
+++ b/datagram/silence_test.go
@@ -1,6 +1,8 @@
 package datagram
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -271,3 +273,85 @@
 	a.status, a.lastSeen = s, now
 	return a.mayHoldFlows(now)
 }
+
+// Guards against a balancer that considers itself cut off although most statuses of the other
+// balancers arrive, and against one that notices a cut late.
+func TestLostPeersFollowsTheStatuses(t *testing.T) {
+	const (
+		quiet = 2 * time.Minute
+		loss  = 0.03
+	)
+	for _, n := range []int{5, 11, 12, 16, 23, 50, 91} {
+		t.Run(fmt.Sprint(n, " balancers"), func(t *testing.T) {
+			for self := range IP(5) {
+				b := &Balancer{Self: 1000 * (self + 1)}
+				b.Start()
+				var senders []*statusSender
+				for i := range IP(n - 1) {
+					senders = append(senders, newStatusSender(b, b.Self+1+i, n))
+				}
+				r := rand.New(rand.NewPCG(uint64(n), uint64(self)))
+				now := StatusInterval
+				for ; now < quiet; now += StatusInterval {
+					for _, s := range senders {
+						s.tick(now, r.Float64() < loss)
+					}
+					for d := time.Duration(0); d < StatusInterval; d += cutOffCheckInterval {
+						if now > 2*farInterval(n) && b.lostPeers(now+d) {
+							t.Fatalf("considers most balancers lost at %v, though their statuses arrive", now+d)
+						}
+					}
+				}
+				cut := now
+				for !b.lostPeers(now) {
+					now += cutOffCheckInterval
+				}
+				if limit := max(time.Second, farInterval(n)*9/10); now-cut > limit {
+					t.Errorf("notices a cut after %v, want %v", now-cut, limit)
+				}
+			}
+		})
+	}
+}
+
+// statusSender sends the statuses of a balancer to another one.
+type statusSender struct {
+	from     *Balancer
+	to       *Balancer
+	near     bool
+	interval time.Duration
+	offset   time.Duration // when it sends after each tick
+	lastSent time.Duration
+}
+
+// newStatusSender adds the sender to the balancers that b knows. It is one of n consecutive
+// addresses, of which b has the first.
+func newStatusSender(b *Balancer, ip IP, n int) *statusSender {
+	var others []IP
+	for i := range IP(n) {
+		if o := b.Self + i; o != ip {
+			others = append(others, o)
+		}
+	}
+	b.discoverPeer(ip, 0)
+	return &statusSender{
+		from: &Balancer{Self: ip}, to: b, near: contains(highestRanked(uint64(ip), others, nearPeerCount(n-1)), b.Self),
+		interval: farInterval(n), offset: time.Duration(ip) * 7919 % StatusInterval,
+	}
+}
+
+// tick sends a status if one is due. The first one always arrives.
+func (s *statusSender) tick(now time.Duration, lost bool) {
+	at := now + s.offset
+	due := s.from.isFarStatusDue(s.to.Self, s.lastSent, s.interval, at)
+	if s.near {
+		due = at-s.lastSent >= LargeFleetInterval
+	}
+	p := s.to.peers[s.from.Self]
+	if !due && s.lastSent != 0 {
+		return
+	}
+	if s.lastSent = at; !lost || p.lastSeen == 0 {
+		p.lastSeen = at
+	}
+}
