Name the environment variable that an option has

Cause: errors named POMELOWAY_SETTINGS and POMELOWAY_LINES, where the variables are POMELOWAY_BOOT and POMELOWAY_LOG_LINES. Change: an error can say a variable that is not named after its flag. Result: TestValidateNamesInvalidFlags, which now asks for the variables, was red in two of three rows.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -272,15 +272,16 @@
 	}
 }
 
-// Guards against errors on options that don't say which flag is wrong.
+// Guards against errors on options that don't say which flag is wrong, or name another
+// environment variable than the flag has.
 func TestValidateNamesInvalidFlags(t *testing.T) {
 	for name, x := range map[string]struct {
 		o    Options
 		want []string
 	}{
-		"no options": {Options{}, []string{"--settings", "--keys"}},
-		"bad key":    {Options{Settings: "f", Keys: []string{"1:short"}}, []string{"--keys"}},
-		"lines":      {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, Lines: -1}, []string{"--lines"}},
+		"no options": {Options{}, []string{"--settings ($POMELOWAY_BOOT)", "--keys ($POMELOWAY_KEYS)"}},
+		"bad key":    {Options{Settings: "f", Keys: []string{"1:short"}}, []string{"--keys ($POMELOWAY_KEYS)"}},
+		"lines":      {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, Lines: -1}, []string{"--lines ($POMELOWAY_LOG_LINES)"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := x.o.Validate()
--- a/node/options.go
+++ b/node/options.go
@@ -29,14 +29,17 @@
 	Lines    int      `help:"Maximum number of log lines per second about flows and requests; lines above this number are only counted." default:"200" env:"POMELOWAY_LOG_LINES" group:"Logs"`
 }
 
+// linesVariable is the environment variable of Options.Lines.
+const linesVariable = "POMELOWAY_LOG_LINES"
+
 // Validate returns all invalid options as one error, each with its flag.
 func (o *Options) Validate() error {
 	var f settings.Errors
-	f.Require(o.Settings != "", "--settings", "is missing; give the path of the settings file that the platform provides")
+	f.RequireVariable(o.Settings != "", "--settings", platform.SettingsVariable, "is missing; give the path of the settings file that the platform provides")
 	f.Require(len(o.Keys) > 0, "--keys", "is missing; create a key with `pomeloway key new`")
 	_, err := keyring.Parse(o.Keys)
 	f.AddError("--keys", err)
-	f.Require(o.Lines >= 0, "--lines", "must be 0 or more")
+	f.RequireVariable(o.Lines >= 0, "--lines", linesVariable, "must be 0 or more")
 	return f.ErrOrNil()
 }
 
--- a/settings/faults.go
+++ b/settings/faults.go
@@ -16,8 +16,13 @@
 
 // Require records the text as an error of the flag unless ok is set.
 func (f *Errors) Require(ok bool, flag, text string) {
+	f.RequireVariable(ok, flag, Variable(flag), text)
+}
+
+// RequireVariable is like Require for a flag whose environment variable is not named after it.
+func (f *Errors) RequireVariable(ok bool, flag, variable, text string) {
 	if !ok {
-		*f = append(*f, fmt.Sprintf("%s ($%s): %s", flag, Variable(flag), text))
+		*f = append(*f, fmt.Sprintf("%s ($%s): %s", flag, variable, text))
 	}
 }
 
