Close what a program has opened if it fails to start

Cause: a program of datagram services whose readiness, control or metrics port was in use returned before its group ran, and left its UDP sockets and earlier servers open. Change: a server that can't listen ends the group with its error, which closes the rest. Result: TestFailedStartClosesSockets, red for both programs before ("address already in use").

--- a/node/agent.go
+++ b/node/agent.go
@@ -137,15 +137,9 @@
 	g.Add(func() error { a.writeRecord(); <-a.ctx.Done(); return nil }, func(error) { a.cancel() })
 	g.Add(func() error { return a.watchSettings(a.ctx, a.applySettings) }, func(error) { a.cancel() })
 	g.Add(func() error { return a.leave(stopped) }, func(error) { a.cancel() })
-	if err := a.addMetrics(&g, a.loop, func() any { return a.agent.Status(a.loop.now()) }); err != nil {
-		return err
-	}
-	if err := addHTTP(&g, a.settings.Control, platform.RegistryHandler(a)); err != nil {
-		return err
-	}
-	if err := addHTTP(&g, a.settings.Readiness, platform.ReadinessHandler(func() bool { return true })); err != nil {
-		return err
-	}
+	a.addMetrics(&g, a.loop, func() any { return a.agent.Status(a.loop.now()) })
+	addHTTP(&g, a.settings.Control, platform.RegistryHandler(a))
+	addHTTP(&g, a.settings.Readiness, platform.ReadinessHandler(func() bool { return true }))
 	go a.applySettings(a.settings)
 	err := g.Run()
 	a.log.Add(events.Stopped)
@@ -228,11 +222,13 @@
 // headerTimeout limits how long an HTTP client may take to send a request header.
 const headerTimeout = 3 * time.Second
 
-// addHTTP adds an HTTP server on the address to the group.
-func addHTTP(g *run.Group, at netip.AddrPort, h http.Handler) error {
+// addHTTP adds an HTTP server on the address to the group. If it can't listen there, the group
+// ends with the error as soon as it runs, and so closes what it has opened.
+func addHTTP(g *run.Group, at netip.AddrPort, h http.Handler) {
 	l, err := net.Listen("tcp4", at.String())
 	if err != nil {
-		return err
+		g.Add(func() error { return err }, func(error) {})
+		return
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	g.Add(func() error {
@@ -241,7 +237,6 @@
 		}
 		return nil
 	}, func(error) { s.Close() })
-	return nil
 }
 
 // addLog adds the goroutine that writes the log to the group.
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -149,15 +149,9 @@
 	}
 	g.Add(func() error { return b.watchSettings(b.ctx, b.store.updateAddress) }, func(error) { b.cancel() })
 	g.Add(func() error { return b.leave(stopped) }, func(error) { b.cancel() })
-	if err := addHTTP(&g, b.settings.Readiness, platform.ReadinessHandler(b.ready.Load)); err != nil {
-		return err
-	}
-	if err := b.addMetrics(&g, b.loop, func() any { return b.balancer.Status(b.loop.now()) }); err != nil {
-		return err
-	}
-	if err := addHTTP(&g, b.settings.View, viewHandler(b.viewKey, func() View { return *b.view.Load() })); err != nil {
-		return err
-	}
+	addHTTP(&g, b.settings.Readiness, platform.ReadinessHandler(b.ready.Load))
+	b.addMetrics(&g, b.loop, func() any { return b.balancer.Status(b.loop.now()) })
+	addHTTP(&g, b.settings.View, viewHandler(b.viewKey, func() View { return *b.view.Load() }))
 	err := g.Run()
 	b.log.Add(events.Stopped)
 	return err
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -35,7 +35,7 @@
 
 // addMetrics adds to the group the copying of counters to the metrics, and a server for
 // /metrics and /state if it is configured. status is called on the loop.
-func (b *base) addMetrics(g *run.Group, l *loop, status func() any) error {
+func (b *base) addMetrics(g *run.Group, l *loop, status func() any) {
 	ctx, stop := context.WithCancel(context.Background())
 	readStatus := func() (v any) {
 		l.do(ctx, func(time.Duration) { v = status() })
@@ -52,7 +52,7 @@
 	}, func(error) { stop() })
 	a := b.metricsAddress()
 	if !a.IsValid() {
-		return nil
+		return
 	}
 	m := http.NewServeMux()
 	m.Handle("GET /metrics", b.metrics.Handler())
@@ -60,5 +60,5 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(readStatus())
 	})
-	return addHTTP(g, a, m)
+	addHTTP(g, a, m)
 }
--- a/node/records_test.go
+++ b/node/records_test.go
@@ -32,9 +32,9 @@
 		restart bool // the agent is restarted before its upstream ends
 		// replace replaces the agent's record by one of a new VM at its address.
 		replace bool
-		outage  bool // the store is down while the agent starts, and back when it ends
+		outage  bool   // the store is down while the agent starts, and back when it ends
 		calls   uint64 // calls from the start to the end; 0: not checked
-		kept    bool // a record is left
+		kept    bool   // a record is left
 	}{
 		"ends":                               {calls: 2},
 		"drains and ends":                    {drains: true, calls: 4},
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -238,3 +238,36 @@
 	s.eventually("balancer ready again", ready)
 	s.eventually("the caller's packet at the upstream after the balancer's restart", arrives)
 }
+
+// Guards against sockets that stay open, so that a restart within the process can't listen
+// there, if a program fails to start because one of its ports is in use.
+func TestFailedStartClosesSockets(t *testing.T) {
+	for name, x := range map[string]struct {
+		ip, taken string
+		start     func(Options) (interface{ Run(context.Context) error }, error)
+	}{
+		"balancer": {balancerIP, "readiness", func(o Options) (interface{ Run(context.Context) error }, error) { return NewBalancer(o, nil) }},
+		"agent":    {agentIP, "control", func(o Options) (interface{ Run(context.Context) error }, error) { return NewAgent(o, nil) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			l, err := net.Listen("tcp4", s.at(x.ip, x.taken))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			p, err := x.start(s.options(x.ip))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := p.Run(t.Context()); err == nil {
+				t.Error("started although a port is in use")
+			}
+			c, err := net.ListenPacket("udp4", s.at(x.ip, "link"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Close()
+		})
+	}
+}
