Keep a service's port until its new one is open

Cause: a bundle that moves a service to an address that can't be listened on closed its old port too, so callers lost both, and nobody tried again until the next version; each port that was opened again left counters behind, which every count walked through; while keys rotate, the limit of resets counted datagrams and let two resets pass for each; an error of new peer keys was dropped. Change: the old port stays and the new one is tried at each refresh of the view; a forwarder that ends adds its counts to a sum; the limit is taken for each reset; the error is logged, in balancers and agents.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -259,7 +259,9 @@
 	}
 	if len(r) > 0 {
 		a.setKeys(r)
-		a.SetPeerKeys(r)
+		if err := a.SetPeerKeys(r); err != nil {
+			a.Log.Add(events.BundleRefused, slog.Uint64("version", uint64(x.Version)), slog.String("error", err.Error()))
+		}
 	}
 	t := x.Bundle.Timeouts.OrDefault()
 	a.disp.timeouts.Store(&t)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +39,11 @@
 
 	mu       sync.Mutex
 	counters []*Counters
-	closed   bool
+	// closedCounts sums up the counters of forwarders that have ended.
+	closedCounts Counts
+	closed       bool
+	// portsMissing is set while a service's address can't be listened on.
+	portsMissing bool
 	// wait waits for the forwarders.
 	wait sync.WaitGroup
 	// outSince maps each availability zone that is out of service to the time at
@@ -181,7 +186,11 @@
 	b.scheduleResets(v, a.Bundle)
 	b.view.Store(v)
 	if old.Version != v.Version {
-		b.SetPeerKeys(r)
+		if err := b.SetPeerKeys(r); err != nil {
+			b.Log.Add(events.BundleRefused, slog.Uint64("version", uint64(a.Version)), slog.String("error", err.Error()))
+		}
+	}
+	if old.Version != v.Version || b.arePortsMissing() {
 		b.updatePorts(a.Bundle)
 	}
 	b.SetReady(!v.zoneOut[b.opts.Zone] && !b.leaving.Load())
@@ -215,7 +224,15 @@
 	}
 }
 
-// updatePorts opens and closes sockets to match the services of the bundle.
+// arePortsMissing reports whether a service's address could not be listened on.
+func (b *Balancer) arePortsMissing() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.portsMissing
+}
+
+// updatePorts opens and closes sockets to match the services of the bundle. A service whose
+// new address can't be listened on keeps its old port, and updateViews tries again.
 func (b *Balancer) updatePorts(x *bundle.Bundle) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -223,6 +240,7 @@
 		return
 	}
 	old, next := *b.ports.Load(), portMap{}
+	b.portsMissing = false
 	for i := range x.Services {
 		s := &x.Services[i]
 		a := s.Address
@@ -233,7 +251,12 @@
 			next[s.ID] = p
 			continue
 		}
-		if p := b.openPort(s.ID, a); p != nil {
+		p := b.openPort(s.ID, a)
+		if p == nil {
+			b.portsMissing = true
+			p = old[s.ID] // serves callers that use the old address
+		}
+		if p != nil {
 			next[s.ID] = p
 		}
 	}
@@ -264,7 +287,10 @@
 	}
 	for _, s := range p.sockets {
 		f := &forwarder{id: id, zone: b.opts.Zone, in: s, link: b.link, view: &b.view, log: b.Log, count: b.newCountersLocked()}
-		b.wait.Go(func() { f.run() })
+		b.wait.Go(func() {
+			f.run()
+			b.retire(f.count)
+		})
 	}
 	return p
 }
@@ -283,6 +309,14 @@
 	return c
 }
 
+// retire adds the counters of a forwarder that has ended to closedCounts.
+func (b *Balancer) retire(c *Counters) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closedCounts.add(c)
+	b.counters = slices.DeleteFunc(b.counters, func(x *Counters) bool { return x == c })
+}
+
 // Counts holds the sums of a balancer's counters, under the names of Counters.
 type Counts struct {
 	Forwarded uint64 `json:"forwarded"`
@@ -296,21 +330,27 @@
 	Reset     uint64 `json:"reset"`
 }
 
-// Counts returns the sums of the counters of all forwarders and of the returner.
+// add adds the present values of the counters.
+func (s *Counts) add(c *Counters) {
+	s.Forwarded += c.Forwarded.Load()
+	s.Opened += c.Opened.Load()
+	s.Returned += c.Returned.Load()
+	s.Dropped += c.Dropped.Load()
+	s.Refused += c.Refused.Load()
+	s.Lost += c.Lost.Load()
+	s.Misrouted += c.Misrouted.Load()
+	s.ZoneOut += c.ZoneOut.Load()
+	s.Reset += c.Reset.Load()
+}
+
+// Counts returns the sums of the counters of all forwarders, also of those that have ended,
+// and of the returner.
 func (b *Balancer) Counts() Counts {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var s Counts
+	s := b.closedCounts
 	for _, c := range b.counters {
-		s.Forwarded += c.Forwarded.Load()
-		s.Opened += c.Opened.Load()
-		s.Returned += c.Returned.Load()
-		s.Dropped += c.Dropped.Load()
-		s.Refused += c.Refused.Load()
-		s.Lost += c.Lost.Load()
-		s.Misrouted += c.Misrouted.Load()
-		s.ZoneOut += c.ZoneOut.Load()
-		s.Reset += c.Reset.Load()
+		s.add(c)
 	}
 	return s
 }
--- a/balancer/reset.go
+++ b/balancer/reset.go
@@ -70,11 +70,16 @@
 func (x *resetter) reset(ks resetKeys, p []byte, to netip.AddrPort, out *link.Socket, now uint32) bool {
 	class, cid := quiclb.Classify(p)
 	n := min(maxResetLen, len(p)-1)
-	if class != quiclb.ClassEstablished || !quiclb.IsShort(p) || n < minResetLen || !x.allow(now) {
+	if class != quiclb.ClassEstablished || !quiclb.IsShort(p) || n < minResetLen {
 		return false
 	}
 	x.setKeys(ks)
+	sent := false
 	for _, h := range x.hash {
+		if !x.allow(now) {
+			break
+		}
+		sent = true
 		b := x.buffer[:n]
 		rand.Read(b)
 		b[0] = b[0]&shortMask | shortForm
@@ -84,7 +89,7 @@
 		copy(b[n-resetTokenLen:], h.Sum(sum[:0]))
 		out.WriteToUDPAddrPort(b, to)
 	}
-	return true
+	return sent
 }
 
 // setKeys creates the HMACs of the keys unless they exist already.
--- a/balancer/reset_test.go
+++ b/balancer/reset_test.go
@@ -21,14 +21,15 @@
 		sent int
 		want int
 	}{
-		"packet of an established flow": {tail(40), keyring.Ring{secret}, 0, 1},
-		"key rotation":                  {tail(40), keyring.Ring{secret, keyring.NewSecret(2)}, 0, 2},
-		"shortest answered packet":      {tail(minResetLen - quiclb.TokenSize), keyring.Ring{secret}, 0, 1},
-		"packet too short":              {tail(minResetLen - quiclb.TokenSize - 1), keyring.Ring{secret}, 0, 0},
-		"opening":                       {initial(7), keyring.Ring{secret}, 0, 0},
-		"empty datagram":                {nil, keyring.Ring{secret}, 0, 0},
-		"no keys":                       {tail(40), nil, 0, 0},
-		"rate limit reached":            {tail(40), keyring.Ring{secret}, maxResetsPerSecond, 0},
+		"packet of an established flow":          {tail(40), keyring.Ring{secret}, 0, 1},
+		"key rotation":                           {tail(40), keyring.Ring{secret, keyring.NewSecret(2)}, 0, 2},
+		"shortest answered packet":               {tail(minResetLen - quiclb.TokenSize), keyring.Ring{secret}, 0, 1},
+		"packet too short":                       {tail(minResetLen - quiclb.TokenSize - 1), keyring.Ring{secret}, 0, 0},
+		"opening":                                {initial(7), keyring.Ring{secret}, 0, 0},
+		"empty datagram":                         {nil, keyring.Ring{secret}, 0, 0},
+		"no keys":                                {tail(40), nil, 0, 0},
+		"rate limit reached":                     {tail(40), keyring.Ring{secret}, maxResetsPerSecond, 0},
+		"limit reached by the first of two keys": {tail(40), keyring.Ring{secret, keyring.NewSecret(2)}, maxResetsPerSecond - 1, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			out, caller := socket(t), socket(t)
