Forget what ended in an agent's paths and in views of the fleet

Cause: an agent kept the availability zone of each balancer that ever sent a heartbeat; removing expired members raised no generation, so a view computed before stayed in use. Change: the zone goes with the balancer; a removal counts as a change.

--- a/agent/paths.go
+++ b/agent/paths.go
@@ -75,7 +75,7 @@
 	}
 	for a := range p.lastHeard {
 		if leaving[a] || b.ZoneOut(p.zones[a]) {
-			delete(p.lastHeard, a)
+			p.forget(a)
 		}
 	}
 	p.refreshLive(now)
@@ -96,7 +96,7 @@
 	var live []netip.AddrPort
 	for a, t := range p.lastHeard {
 		if now.Sub(t) > balancerTimeout {
-			delete(p.lastHeard, a)
+			p.forget(a)
 			continue
 		}
 		live = append(live, a)
@@ -113,6 +113,12 @@
 	}
 }
 
+// forget drops a balancer. p.mu must be held.
+func (p *paths) forget(a netip.AddrPort) {
+	delete(p.lastHeard, a)
+	delete(p.zones, a)
+}
+
 // assignBuckets assigns a balancer to each bucket. p.mu must be held.
 //
 // If a caller's hash modulo the length of the list selected its balancer, every change
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -163,10 +163,19 @@
 			t.Fatal("the member was removed at once; a late copy of its record would be added as a new member")
 		}
 		time.Sleep(tombstoneTTL + time.Second)
+		before, changed := s.Generation(), s.Changed()
 		s.RemoveExpired()
 		if ms, os := s.Snapshot(); len(ms)+len(os) != 0 {
 			t.Errorf("not removed after tombstoneTTL: %v %v", ms, os)
 		}
+		select {
+		case <-changed:
+		default:
+			t.Error("views of the state with the removed member stay in use")
+		}
+		if s.Generation() == before {
+			t.Error("the removal is no new generation")
+		}
 	})
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -64,7 +64,7 @@
 
 	mu       sync.Mutex
 	revision uint64
-	// generation increases with every merge that changes members, opinions or the bundle.
+	// generation increases with every change of members, opinions or the bundle.
 	generation uint64
 	members    map[MemberID]*entry[Member]
 	opinions   map[opinionKey]*entry[Opinion]
@@ -199,7 +199,7 @@
 	return m
 }
 
-// Generation returns a number that increases with every merge that changes s.
+// Generation returns a number that increases with every change of s.
 func (s *State) Generation() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -300,6 +300,9 @@
 			n++
 		}
 	}
+	if n > 0 {
+		s.notify()
+	}
 	return n
 }
 
