--- a/balancer/options.go
+++ b/balancer/options.go
@@ -25,7 +25,7 @@
 func (o *Options) Validate() error {
 	var f settings.Errors
 	f.Join(o.Options.Validate())
-	f.Require(o.Forwarders >= 0 && o.Forwarders <= maxForwarders, "--forwarders", "must be 1 to 64")
+	f.Require(o.Forwarders >= 1 && o.Forwarders <= maxForwarders, "--forwarders", "must be 1 to 64")
 	f.Require(!o.Bind.IsValid() || o.Bind.Is4(), "--bind", "must be an IPv4 address")
 	return f.ErrOrNil()
 }
--- a/cli/call.go
+++ b/cli/call.go
@@ -71,7 +71,9 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "--cacert")
 		}
-		pool.AppendCertsFromPEM(b)
+		if !pool.AppendCertsFromPEM(b) {
+			return nil, eris.Errorf("--cacert: %s has no certificate in PEM format", o.CACert)
+		}
 	}
 	return &http3.Transport{
 		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool},
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
+	"pomeloway.example/pomeloway/settings"
 	"pomeloway.example/pomeloway/standin"
 )
 
@@ -59,6 +60,10 @@
 const fabricPollInterval = 500 * time.Millisecond
 
 func standinFabric(o StandinFabric, s streams) error {
+	bs, err := parseFabricBalancers(o.Balancer)
+	if err != nil {
+		return err
+	}
 	f := standin.NewFabric()
 	for _, a := range o.Service {
 		if err := f.Open(a); err != nil {
@@ -68,32 +73,47 @@
 	ctx, stop := signalContext(context.Background())
 	defer stop()
 	var g run.Group
-	g.Add(func() error { return pollBalancers(ctx, f, o) }, func(error) { stop(); f.Close() })
+	g.Add(func() error { return pollBalancers(ctx, f, o, bs) }, func(error) { stop(); f.Close() })
 	fmt.Fprintf(s.errs, "stand-in for the fabric serves %v\n", o.Service)
 	return g.Run()
 }
 
+// fabricBalancer is a balancer to which the fabric sends datagrams.
+type fabricBalancer struct {
+	ip       netip.Addr
+	operator netip.AddrPort
+}
+
+// parseFabricBalancers parses the values of --balancer, IP@IP:PORT each.
+func parseFabricBalancers(texts []string) ([]fabricBalancer, error) {
+	var f settings.Errors
+	var bs []fabricBalancer
+	for _, t := range texts {
+		ip, operator, _ := strings.Cut(t, "@")
+		a, ipErr := netip.ParseAddr(ip)
+		o, operatorErr := netip.ParseAddrPort(operator)
+		f.Require(ipErr == nil && operatorErr == nil, "--balancer", fmt.Sprintf("%q is not IP@IP:PORT", t))
+		bs = append(bs, fabricBalancer{a, o})
+	}
+	return bs, f.ErrOrNil()
+}
+
 // pollBalancers keeps the fabric's list of balancers up to date. The list contains
 // the balancers that report ready, and unreachable ones until o.Stale has passed
 // since they last reported ready, because a real fabric takes time to detect a
 // failure.
-func pollBalancers(ctx context.Context, f *standin.Fabric, o StandinFabric) error {
-	lastReady := map[string]time.Time{}
+func pollBalancers(ctx context.Context, f *standin.Fabric, o StandinFabric, bs []fabricBalancer) error {
+	lastReady := map[fabricBalancer]time.Time{}
 	c := &http.Client{Timeout: fabricPollInterval}
 	for {
 		var targets []netip.Addr
-		for _, b := range o.Balancer {
-			ip, operatorAddr, _ := strings.Cut(b, "@")
-			a, err := netip.ParseAddr(ip)
-			if err != nil {
-				return eris.Wrap(err, "--balancer")
-			}
-			ready, reached := checkReady(ctx, c, operatorAddr)
+		for _, b := range bs {
+			ready, reached := checkReady(ctx, c, b.operator.String())
 			if ready {
 				lastReady[b] = time.Now()
 			}
 			if ready || !reached && time.Since(lastReady[b]) < o.Stale {
-				targets = append(targets, a)
+				targets = append(targets, b.ip)
 			}
 		}
 		for _, svc := range o.Service {
