Tell a refusal from a platform that does not respond

Cause: a mere conflict, or history that was dropped, was logged as "platform not responding", and only a watch ended the alarm, which most nodes do not run; seeds counted as known peers, so a node whose seeds were all gone followed nobody and did not read the platform. Change: refusals because of what the platform holds count as responses, each write reports its result, and only relays count as peers.

--- a/peer/node.go
+++ b/peer/node.go
@@ -173,6 +173,7 @@
 // view.
 type sources struct {
 	relay      bool
+	relays     int // how many of the peers are known relays; the others are seeds
 	peers      []netip.AddrPort
 	generation uint64
 	computedAt time.Time
@@ -185,31 +186,31 @@
 // sources returns whether this node is a relay, and the peers to follow. The
 // result is cached: scanning the whole view on each call would cost every process
 // a share of a core that grows with the fleet.
-func (n *Node) sources() (relay bool, peers []netip.AddrPort) {
+func (n *Node) sources() sources {
 	g := n.State.Generation()
 	n.mu.Lock()
 	k := n.cachedSources
 	n.mu.Unlock()
 	if k.computedAt.IsZero() || k.generation != g || time.Since(k.computedAt) > maxSourcesAge {
-		k = sources{generation: g, computedAt: time.Now()}
-		k.relay, k.peers = n.findSources()
+		k = n.findSources()
+		k.generation, k.computedAt = g, time.Now()
 		n.mu.Lock()
 		n.cachedSources = k
 		n.mu.Unlock()
 	}
-	return k.relay, k.peers
+	return k
 }
 
 // findSources computes the peers to follow in order of preference: the relays of
 // the node's own availability zone, those of other zones, then the seeds.
-func (n *Node) findSources() (relay bool, peers []netip.AddrPort) {
+func (n *Node) findSources() (k sources) {
 	s := n.Self()
 	var own, other []fleet.Member
 	for z, ms := range n.relaysByZone() {
 		for _, m := range ms {
 			switch {
 			case m.ID == s.ID:
-				relay = true
+				k.relay = true
 			case z == s.Zone:
 				own = append(own, m)
 			default:
@@ -217,11 +218,13 @@
 			}
 		}
 	}
-	k := fleet.HashOf([]byte(s.ID))
-	for _, m := range append(fleet.Rank(k, own, len(own)), fleet.Rank(k, other, len(other))...) {
-		peers = append(peers, m.Peer)
+	key := fleet.HashOf([]byte(s.ID))
+	for _, m := range append(fleet.Rank(key, own, len(own)), fleet.Rank(key, other, len(other))...) {
+		k.peers = append(k.peers, m.Peer)
 	}
-	return relay, append(peers, n.Seeds...)
+	k.relays = len(k.peers)
+	k.peers = append(k.peers, n.Seeds...)
+	return k
 }
 
 // follow reads changes from peers. It stays with a peer that responds and moves on
@@ -231,7 +234,8 @@
 	at := map[netip.AddrPort]Position{}
 	next := 0
 	for ctx.Err() == nil {
-		relay, src := n.sources()
+		k := n.sources()
+		relay, src := k.relay, k.peers
 		if len(src) == 0 {
 			if !pause(ctx, b) {
 				return
@@ -317,7 +321,7 @@
 	doubtedSince := map[fleet.MemberID]time.Time{}
 	for clock.Sleep(ctx, collectInterval) {
 		n.State.RemoveExpired()
-		if relay, _ := n.sources(); relay {
+		if n.sources().relay {
 			n.reap(ctx, doubtedSince)
 		}
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -285,7 +285,8 @@
 				}
 				n := testNode(&standin.Platform{}, m)
 				n.State.Merge(fleet.Change{Members: ms})
-				relay, peers := n.sources()
+				k := n.sources()
+				relay, peers := k.relay, k.peers
 				if relay {
 					found++
 				}
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -65,23 +65,28 @@
 	return x, err
 }
 
+// needsPlatform reports whether this node reads the platform itself. Seeds do not count as
+// peers: they are addresses from the settings, at which nobody may run any more.
 func (n *Node) needsPlatform() bool {
-	relay, src := n.sources()
-	return relay || len(src) == 0 || n.State.Accepted() == nil
+	k := n.sources()
+	return k.relay || k.relays == 0 || n.State.Accepted() == nil
 }
 
+// setPlatformResult records whether the platform responded to a call. A refusal because of
+// what the platform holds is a response.
 func (n *Node) setPlatformResult(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	down := err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrGone)
 	n.mu.Lock()
 	was := n.platformDown
-	n.platformDown = err != nil
+	n.platformDown = down
 	n.mu.Unlock()
 	switch {
-	case err != nil && !was:
+	case down && !was:
 		n.Log.Add(events.PlatformDown, slog.String("error", err.Error()))
-	case err == nil && was:
+	case !down && was:
 		n.Log.Add(events.PlatformUp)
 	}
 }
@@ -124,8 +129,9 @@
 	b := newBackoff()
 	for ctx.Err() == nil {
 		n.announceSelf(ctx)
-		if err := n.write(ctx); err != nil {
-			n.setPlatformResult(ctx, err)
+		err := n.write(ctx)
+		n.setPlatformResult(ctx, err)
+		if err != nil {
 			if !pause(ctx, b) {
 				return
 			}
@@ -145,7 +151,7 @@
 const maxAnnouncePeers = 2
 
 func (n *Node) announceSelf(ctx context.Context) {
-	_, src := n.sources()
+	src := n.sources().peers
 	for _, a := range src[:min(maxAnnouncePeers, len(src))] {
 		if err := n.Client.Announce(ctx, a, fleet.Change{Members: []fleet.Member{n.Self()}}); err != nil && ctx.Err() == nil {
 			n.Log.Add(events.PeerDown, slog.String("peer", a.String()), slog.String("error", err.Error()))
