--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -144,7 +144,6 @@
 // recordAnswer counts an answer that arrived d after its request started.
 func (c *caller) recordAnswer(d time.Duration) {
 	w := c.w
-	w.latencies = append(w.latencies, d)
 	w.answered++
 	if d > c.targetLatency {
 		w.late++
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"pomeloway.example/pomeloway/datagram"
@@ -20,7 +22,7 @@
 		v.stop()
 		v.u.crash()
 		w.after(d+time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() {
-			if !v.u.alive {
+			if !v.lost && !v.u.alive {
 				v.u.start()
 			}
 			v.start()
@@ -89,16 +91,47 @@
 // drain makes the upstream announce with its next heartbeat that it drains.
 func (v *agentVM) drain() { v.u.draining = true }
 
+// overlapping holds the strengths of the faults of one kind that are in progress. Of faults
+// that overlap the strongest has effect.
+type overlapping[T cmp.Ordered] struct{ active []T }
+
+func (o *overlapping[T]) begin(x T) { o.active = append(o.active, x) }
+
+// end ends one of the faults of the strength.
+func (o *overlapping[T]) end(x T) {
+	if i := slices.Index(o.active, x); i >= 0 {
+		o.active = slices.Delete(o.active, i, i+1)
+	}
+}
+
+// strongest returns the greatest strength, or 0 if no fault is in progress.
+func (o *overlapping[T]) strongest() (x T) {
+	for _, a := range o.active {
+		x = max(x, a)
+	}
+	return x
+}
+
+// during begins a fault of the strength and ends it after d. It calls apply with the
+// strength in effect after each change.
+func during[T cmp.Ordered](w *simulation, o *overlapping[T], x T, d time.Duration, apply func(T)) {
+	o.begin(x)
+	apply(o.strongest())
+	w.after(d, func() {
+		o.end(x)
+		apply(o.strongest())
+	})
+}
+
 // partition cuts the first n balancers off from all other VMs for d. They can still reach
 // each other and callers.
 func (w *simulation) partition(n int, d time.Duration) {
-	w.partitioned = map[datagram.IP]bool{}
-	for i, v := range w.balancersByAddress() {
-		if i < n {
+	during(w, &w.cuts, n, d, func(n int) {
+		w.partitioned = map[datagram.IP]bool{}
+		for _, v := range w.balancersByAddress()[:min(n, len(w.balancers))] {
 			w.partitioned[v.ip] = true
 		}
-	}
-	w.after(d, func() { w.partitioned = nil })
+	})
 }
 
 // burst adds n callers that stop after d.
@@ -113,8 +146,7 @@
 // loseDatagrams drops the given share of all datagrams, also of those to and from callers,
 // for d.
 func (w *simulation) loseDatagrams(share float64, d time.Duration) {
-	w.lossRate = share
-	w.after(d, func() { w.lossRate = 0 })
+	during(w, &w.losses, share, d, func(x float64) { w.lossRate = x })
 }
 
 // freeze pauses n balancers for d. Datagrams that arrive meanwhile are queued.
@@ -131,6 +163,5 @@
 // slowStore sets the latency of the store for balancers and agents that start within the
 // next d.
 func (w *simulation) slowStore(wait, d time.Duration) {
-	w.storeLatency = wait
-	w.after(d, func() { w.storeLatency = 0 })
+	during(w, &w.storeDelays, wait, d, func(x time.Duration) { w.storeLatency = x })
 }
--- a/experiment/options.go
+++ b/experiment/options.go
@@ -63,7 +63,7 @@
 const (
 	// maxVMs exceeds the largest site planned for.
 	maxVMs = 4000
-	// callersPerUpstream loads an upstream's five slots to some two fifths of their capacity.
+	// callersPerUpstream loads an upstream's five slots to about a quarter of their capacity.
 	callersPerUpstream = 40
 	// maxCallers limits the memory of a day to about 2 GB.
 	maxCallers = 200_000
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -43,6 +43,9 @@
 	busyAt          float64       // see datagram.Agent.BusyAt
 	maxMessageDelay time.Duration // limit of the random delay of each message, as on busy VMs; 0: no delay
 	routeSalt       uint64        // input to the router's hash; another value moves nearly all flows
+	cuts            overlapping[int]
+	losses          overlapping[float64]
+	storeDelays     overlapping[time.Duration]
 	storeLatency    time.Duration // latency of the store for processes that start; 0: defaultStoreLatency
 	lastLife        uint64        // number of the latest datagram.Life
 
@@ -56,7 +59,6 @@
 	shed                           int
 	controlBytes                   map[datagram.IP]int // bytes of control messages to each VM, with their headers; nil: not counted
 	lookupTraffic                  traffic             // messages that belong to lookups of flows
-	latencies                      []time.Duration     // latency of each answer
 	breaches                       []string
 	// dayStart is when the day starts; outcomes are counted by second from then on.
 	dayStart time.Duration
@@ -434,7 +436,7 @@
 
 // start starts the agent, which reads the store after its latency.
 func (v *agentVM) start() {
-	if v.up {
+	if v.up || v.lost {
 		return
 	}
 	w := v.w
