Mend what reports, counters and tests left out

Cause: a failing test of disabled guards printed another report than it had checked; messages for another service were counted and shown nowhere; a malformed member's record was logged as a message of an unknown sender; the test of distinct keys left out one use; nothing tested that a store counts as failing while any of its reads fails, and that a view over the limit is refused as such. Change: the checked report is printed; agents show `foreign`; event 3102, with the object; tests. Result: TestDatagramsOfOtherServicesAreNotTaken asks for the count.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -340,8 +340,8 @@
 // "not-run" or "unknown"; Replayed got a recorded response; the responses of Cut were
 // cut off. Crossed counts responses that arrived on another request's connection,
 // Dropped those that no request was waiting for. Strange counts link messages without a
-// valid tag and stale heartbeats, Unrouted outgoing datagrams for which no balancer was
-// known.
+// valid tag and stale heartbeats, Foreign those for another service, as after an address was
+// reused, and Unrouted outgoing datagrams for which no balancer was known.
 type Counts struct {
 	Flows    int           `json:"flows"`
 	Load     upstream.Load `json:"load"`
@@ -359,6 +359,7 @@
 	Leaving  bool          `json:"leaving"`
 	ZoneOut  bool          `json:"zoneOut"`
 	Strange  uint64        `json:"strange"`
+	Foreign  uint64        `json:"foreign"`
 	Unrouted uint64        `json:"unrouted"`
 }
 
@@ -371,6 +372,6 @@
 		Replayed: c.Replayed.Load(), ToHome: c.ToHome.Load(), Cut: c.Cut.Load(),
 		Crossed: a.disp.client.Crossed.Load(), Dropped: a.disp.client.Dropped.Load(),
 		Journal: a.handler.keyedRequests.journal.Len(), Leaving: a.disp.leaving.Load(), ZoneOut: a.zoneOut.Load(),
-		Strange: a.conn.Invalid.Load(), Unrouted: a.conn.Unrouted.Load(),
+		Strange: a.conn.Invalid.Load(), Foreign: a.conn.Foreign.Load(), Unrouted: a.conn.Unrouted.Load(),
 	}
 }
--- a/agent/conn_test.go
+++ b/agent/conn_test.go
@@ -279,6 +279,9 @@
 	if p, _ := c.handle(b, balancerAddr); p != nil {
 		t.Error("a datagram of another service was taken")
 	}
+	if n := c.Foreign.Load(); n != 2 {
+		t.Errorf("%d messages for other services counted, want 2", n)
+	}
 }
 
 // Guards against a panic that would end all flows of an agent. A faulty process of the
--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -300,7 +300,7 @@
 		t.Run(string(name), func(t *testing.T) {
 			s, rec := startSite(t, "agency", guard.Without(name))
 			var x *script
-			r := runDuring(t, s, rec, 40, func(ctx context.Context) {
+			runDuring(t, s, rec, 40, func(ctx context.Context) {
 				x = &script{s: s, rec: rec}
 				if name == guard.Drain {
 					requestAfterDrain(ctx, t, s, x)
@@ -320,7 +320,7 @@
 			rep := rec.finish(time.Time{}, time.Time{})
 			s.addCounters(&rep, x)
 			if !shows(&rep) {
-				t.Errorf("the report does not show the missing guard: %+v", r)
+				t.Errorf("the report does not show the missing guard: %+v", rep)
 			}
 		})
 	}
--- a/events/events.go
+++ b/events/events.go
@@ -63,7 +63,6 @@
 	ConfigurationRefused ID = 4102
 	ZonesChanged         ID = 4103
 	AnnouncementRefused  ID = 2203
-	LinkRefused          ID = 5001
 	PlatformDown         ID = 5002
 	PlatformUp           ID = 5003
 	PeerDown             ID = 5004
@@ -133,7 +132,6 @@
 	{ConfigurationInForce, "configuration in force", slog.LevelInfo},
 	{ConfigurationRefused, "configuration refused", slog.LevelError},
 	{ZonesChanged, "availability zones taken out or back in", slog.LevelWarn},
-	{LinkRefused, "message of unknown sender", slog.LevelWarn},
 	{PlatformDown, "platform not responding", slog.LevelWarn},
 	{PlatformUp, "platform responding again", slog.LevelInfo},
 	{PeerDown, "peer not responding", slog.LevelWarn},
--- a/keyring/keyring_test.go
+++ b/keyring/keyring_test.go
@@ -60,7 +60,7 @@
 func TestDerivedKeysDifferByUse(t *testing.T) {
 	s := NewSecret(1)
 	seen := map[string]Use{}
-	for _, u := range []Use{UseToken, UseLink, UseOrder, UseReset, UseTLS} {
+	for _, u := range []Use{UseToken, UseLink, UseOrder, UseReset, UseTLS, UseView} {
 		k := string(s.Derive(u, 16))
 		if o, ok := seen[k]; ok {
 			t.Errorf("%q and %q share a key", o, u)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -340,14 +340,38 @@
 }
 
 // Guards against a balancer that cannot reach the store and is still counted among those
-// that watch it.
+// that watch it, also if reads of another kind succeed.
 func TestFailedReadMarksStoreDetached(t *testing.T) {
 	s := testStore(nil)
-	var down bool
-	for _, x := range []error{nil, platform.ErrDown, nil} {
-		s.trackOutcome(&down, platform.KindConfiguration, x)
-		if s.detached() != (x != nil) {
-			t.Errorf("after a call with error %v, detached is %t", x, s.detached())
+	var configuration, evacuations bool
+	for _, x := range []struct {
+		failing *bool
+		kind    platform.Kind
+		err     error
+		want    bool
+	}{
+		{&configuration, platform.KindConfiguration, nil, false},
+		{&configuration, platform.KindConfiguration, platform.ErrDown, true},
+		{&evacuations, platform.KindEvacuation, nil, true},
+		{&evacuations, platform.KindEvacuation, platform.ErrDown, true},
+		{&configuration, platform.KindConfiguration, nil, true},
+		{&evacuations, platform.KindEvacuation, nil, false},
+	} {
+		s.trackOutcome(x.failing, x.kind, x.err)
+		if s.detached() != x.want {
+			t.Errorf("after a read of %s with error %v, detached is %t", x.kind, x.err, s.detached())
 		}
 	}
 }
+
+// Guards against a view that is cut at the limit, and then refused for a wrong tag.
+func TestTooLargeViewIsRefusedAsSuch(t *testing.T) {
+	key := []byte("of the fleet")
+	v := View{Configuration: platform.Object{Spec: json.RawMessage(`"` + strings.Repeat("x", maxViewSize) + `"`)}}
+	s := httptest.NewServer(viewHandler(key, func() View { return v }))
+	defer s.Close()
+	_, err := fetchView(t.Context(), key, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")), viewPath)
+	if err == nil || !strings.Contains(err.Error(), "exceeds the limit") {
+		t.Errorf("the error is %v", err)
+	}
+}
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -110,7 +110,7 @@
 		case platform.KindMember:
 			var m fleet.Member
 			if err := json.Unmarshal(o.Spec, &m); err != nil {
-				n.Log.Add(events.LinkRefused, slog.String("object", o.Meta.Name), slog.String("error", err.Error()))
+				n.Log.Add(events.RecordRefused, slog.String("object", o.Meta.Name), slog.String("error", err.Error()))
 				continue
 			}
 			if e.Removed {
