Send sets of balancers that are not listed without waiting for half a second

After all VMs lost power, all homes are unsure until 1.05 s after the last VM has started and become sure at one moment. Statuses list an agent's set of balancers up to 64; with 91 a home only gets its digest, which agents send after the set has not changed for 0.54 s, 1.08 s at the latest. In a smaller fleet homes are sure in 0.25 s. Change: a set that is not listed is sent after 0.1 s and 0.2 ms for each agent.

--- a/datagram/registrar.go
+++ b/datagram/registrar.go
@@ -24,6 +24,9 @@
 	// Added balancers are sent the set at once. All are sent it homesSendCount times,
 	// because datagrams can be lost.
 	homesSendDelay         = 500 * time.Millisecond
+	// unlistedHomesSendDelay replaces homesSendDelay for sets that are too large to be listed.
+	// Until the last set is sent, balancers know nothing of it.
+	unlistedHomesSendDelay = 100 * time.Millisecond
 	homesSendDelayPerAgent = 200 * time.Microsecond
 	maxPostponements       = 2
 	homesSendCount         = 2
@@ -155,7 +158,11 @@
 
 // scheduleHomesStatus schedules the statuses that send a new home set to all balancers.
 func (a *Agent) scheduleHomesStatus(now time.Duration) {
-	delay := homesSendDelay + time.Duration(a.agentCount)*homesSendDelayPerAgent
+	delay := homesSendDelay
+	if len(a.homes.ips) > maxHomesListed {
+		delay = unlistedHomesSendDelay
+	}
+	delay += time.Duration(a.agentCount) * homesSendDelayPerAgent
 	if a.homesSendAt == 0 {
 		a.homesSendDeadline = now + maxPostponements*delay
 	}
