--- a/datagram/registrar.go
+++ b/datagram/registrar.go
@@ -23,7 +23,7 @@
 	// the delay, but the sending is put off for at most maxPostponements delays in total.
 	// Added balancers are sent the set at once. All are sent it homesSendCount times,
 	// because datagrams can be lost.
-	homesSendDelay         = 500 * time.Millisecond
+	homesSendDelay = 500 * time.Millisecond
 	// unlistedHomesSendDelay replaces homesSendDelay for sets that are too large to be listed.
 	// Until the last set is sent, balancers know nothing of it.
 	unlistedHomesSendDelay = 100 * time.Millisecond
