--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -6,6 +6,24 @@
 	"time"
 )
 
+// newLookupAgent returns an agent of a service, and the recorder of what it sends.
+func newLookupAgent(t *testing.T) (*Agent, *recorder) {
+	s := newRecorder(t)
+	a := &Agent{Service: 7, Zone: 3, Format: plainFormat{}, Out: s, Keys: testKeys(t)}
+	a.Start()
+	return a, s
+}
+
+// sendLookup passes a packet of a flow to the agent, as a balancer does that looks it up. It
+// returns the packet.
+func sendLookup(a *Agent, f Flags, now time.Duration) []byte {
+	m := plainPacket(plainData, 9)
+	h := Message{Kind: KindPacket, Flags: FlagLookup | f}
+	h.Put(m, a.Keys[0])
+	a.HandleMessage(1, m, now)
+	return m
+}
+
 // Guards against lookups that end at an agent of an evacuated zone: it drops packets of its
 // own flows, but must answer lookups of flows that it does not hold.
 func TestLookupAtEvacuatedZone(t *testing.T) {
@@ -23,19 +41,13 @@
 		"held by this agent":           {1, true, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newRecorder(t)
-			a := &Agent{Service: 7, Zone: 3, Format: plainFormat{}, Out: s, Keys: testKeys(t)}
-			a.Start()
+			a, s := newLookupAgent(t)
 			a.HandleAnnouncement(&Announcement{Service: 7, Born: 5, Sequence: x.first, Slots: 5}, time.Second)
 			a.setZonesOut([]ZoneKey{3}, 9, now-defaultEvacuation)
-			m := plainPacket(plainData, 9)
-			k, _ := plainFormat{}.Parse(m[HeaderLen:])
 			if x.here {
-				a.flows.set(k.Flow, &flowState{phase: flowOpen, born: 5})
+				a.flows.set(testFlow(9), &flowState{phase: flowOpen, born: 5})
 			}
-			h := Message{Kind: KindPacket, Flags: FlagLookup}
-			h.Put(m, a.Keys[0])
-			a.HandleMessage(1, m, now)
+			sendLookup(a, 0, now)
 			if s.upstream != 0 {
 				t.Error("packet forwarded to the upstream of an evacuated zone")
 			}
@@ -62,18 +74,12 @@
 		"agent knows all flows, flow here":      {1, true, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newRecorder(t)
-			a := &Agent{Service: 7, Zone: 3, Format: plainFormat{}, Out: s, Keys: testKeys(t)}
-			a.Start()
+			a, s := newLookupAgent(t)
 			a.HandleAnnouncement(&Announcement{Service: 7, Born: 5, Sequence: x.first, Slots: 5}, time.Second)
-			m := plainPacket(plainData, 9)
-			k, _ := plainFormat{}.Parse(m[HeaderLen:])
 			if x.here {
-				a.flows.set(k.Flow, &flowState{phase: flowOpen, born: 5})
+				a.flows.set(testFlow(9), &flowState{phase: flowOpen, born: 5})
 			}
-			h := Message{Kind: KindPacket, Flags: FlagLookup | FlagUnsure | FlagKnownOnly}
-			h.Put(m, a.Keys[0])
-			a.HandleMessage(1, m, now)
+			sendLookup(a, FlagUnsure|FlagKnownOnly, now)
 			if s.upstream != x.upstream {
 				t.Errorf("packet forwarded to the upstream %d times", s.upstream)
 			}
@@ -193,16 +199,11 @@
 		"announced long ago, crashed": {ProbeUnanswered, true, false, start + announcementTimeout, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newRecorder(t)
-			a := &Agent{Service: 7, Format: plainFormat{}, Out: s, Keys: testKeys(t)}
-			a.Start()
+			a, s := newLookupAgent(t)
 			a.HandleProbeResult(x.probe, time.Millisecond)
 			if x.announced {
 				a.HandleAnnouncement(&Announcement{Service: 7, Born: 5, Sequence: 9, Slots: 5}, start)
 			}
-			m := plainPacket(plainData, 9)
-			h := Message{Kind: KindPacket, Flags: FlagLookup}
-			h.Put(m, a.Keys[0])
 			answer := func() Kind {
 				defer func() { s.process = nil }()
 				if len(s.process) == 0 {
@@ -210,7 +211,7 @@
 				}
 				return s.process[0].Kind
 			}
-			a.HandleMessage(1, m, x.now)
+			m := sendLookup(a, 0, x.now)
 			a.Tick(x.now)
 			if k := answer(); k != x.atOnce || s.upstream != 1 {
 				t.Errorf("answered with message %v at once, want %v; %d packets forwarded", k, x.atOnce, s.upstream)
