--- a/cli/standin.go
+++ b/cli/standin.go
@@ -92,7 +92,9 @@
 		ip, operator, _ := strings.Cut(t, "@")
 		a, ipErr := netip.ParseAddr(ip)
 		o, operatorErr := netip.ParseAddrPort(operator)
-		f.Require(ipErr == nil && operatorErr == nil, "--balancer", fmt.Sprintf("%q is not IP@IP:PORT", t))
+		if ipErr != nil || operatorErr != nil {
+			f = append(f, fmt.Sprintf("--balancer: %q is not IP@IP:PORT", t))
+		}
 		bs = append(bs, fabricBalancer{a, o})
 	}
 	return bs, f.ErrOrNil()
