--- a/experiment/cadence_test.go
+++ b/experiment/cadence_test.go
@@ -66,6 +66,7 @@
 // Guards against links of small VMs that are full when all VMs return at once: every process
 // then sends statuses to every other one, and those of balancers listed all balancers.
 func TestReturnOfAllProcessesSendsFewBytes(t *testing.T) {
+	t.Parallel()
 	const (
 		balancers, agents = 91, 204
 		statuses          = 4   // from each other process, within two seconds
--- a/experiment/lost_test.go
+++ b/experiment/lost_test.go
@@ -9,11 +9,13 @@
 // is too large to be listed in statuses. All flows are lost with all VMs, and homes have to
 // agree with the agents on the set before they can tell.
 func TestLostFlowsAreToldAsSoonInALargeFleet(t *testing.T) {
+	t.Parallel()
 	for name, n := range fleets {
 		if n < 7 {
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			w := newSite(t, 1, n, 2*n, 600)
 			w.powerLoss(700 * time.Millisecond)
 			w.runUntil(w.now + time.Second) // the last VM has started
--- a/experiment/watchers_test.go
+++ b/experiment/watchers_test.go
@@ -24,8 +24,10 @@
 // Guards against calls to the store that grow with the fleet, because every balancer
 // watches it.
 func TestFewBalancersWatchTheStore(t *testing.T) {
+	t.Parallel()
 	for name, n := range fleets {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			w := newSite(t, 1, n, 2*n, 0)
 			for range 40 {
 				w.runUntil(w.now + 500*time.Millisecond)
@@ -41,6 +43,7 @@
 // or are cut off at once. Others must replace them well within the time in which a change
 // has to be in force (3 s for up to 10 balancers, 5 s for more), and only a few of them.
 func TestLostWatchersAreReplaced(t *testing.T) {
+	t.Parallel()
 	const maxVolunteers = 30
 	for fault, apply := range map[string]func(*simulation, *balancerVM){
 		"killed":  func(_ *simulation, v *balancerVM) { v.stop() },
@@ -51,6 +54,7 @@
 				continue
 			}
 			t.Run(fault+", "+name, func(t *testing.T) {
+				t.Parallel()
 				w := newSite(t, 1, n, 2*n, 0)
 				w.partitioned = map[datagram.IP]bool{}
 				lost := map[datagram.IP]bool{}
@@ -93,6 +97,7 @@
 // soon as the watchers report that it does not answer them, and a total outage makes few of
 // them call it.
 func TestDetachedWatchersAreReplaced(t *testing.T) {
+	t.Parallel()
 	w := newSite(t, 1, 91, 182, 0)
 	first := w.watchers()
 	for _, v := range first {
