--- a/experiment/watchers_test.go
+++ b/experiment/watchers_test.go
@@ -18,7 +18,7 @@
 	return out
 }
 
-// fleets are the fleet sizes for which the store's watchers are tested.
+// fleets are sizes of fleets, from a single balancer to more than statuses can list.
 var fleets = map[string]int{"1 balancer": 1, "2 balancers": 2, "7 balancers": 7, "23 balancers": 23, "91 balancers": 91}
 
 // Guards against calls to the store that grow with the fleet, because every balancer
