Admit uploads by the balancer's link, and count requests when they are complete

Cause: uploads of 80 kB pass through balancers of which two thirds have 11 Mbit/s. The only bound was an accident: an upload counted at its agent as a request in progress from its first packet on, so idle upstreams (5 ms of work) declined openings as busy, 7,415 times in four seconds. Change: a balancer learns which routes carry uploads and bounds those that pass through it at the same time by its link's bandwidth; the others wait for an eighth of their target latency and are then refused, as their callers come back through another balancer. An agent counts a request from its last packet on, knows in which order requests arrived, and so which were rejected.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -63,7 +63,7 @@
 	leaving          bool
 	flows            table[*flowState]
 	openFlows        int
-	underWay         int
+	requests         requests
 	expectedRequests expectedRequests
 	lastRecount      time.Duration
 	probing          bool
@@ -84,6 +84,9 @@
 	Taken, Declined, Bounced, Established, Resets uint64
 	NotMine, Mine, Packets, Answers, Dropped      uint64
 	BadMessages, BadPackets, BadAnnouncements     uint64
+	// Rejected is the number of requests that the upstream rejected because its queue was
+	// full.
+	Rejected uint64
 }
 
 type balancerView struct {
@@ -353,7 +356,7 @@
 	s := AgentStatus{
 		Life: a.Life, Sequence: a.sequence, Uptime: MillisOf(now), Service: a.Service, Zone: a.Zone,
 		Interval: MillisOf(interval), State: a.upstream.state, Leaving: a.leaving, Slots: uint16(a.upstream.slots),
-		Flows: uint16(max(0, min(a.openFlows, 1<<16-1))), UnderWay: uint16(max(0, min(a.underWay, 1<<16-1))),
+		Flows: uint16(max(0, min(a.openFlows, 1<<16-1))), UnderWay: uint16(min(a.requests.count(), math.MaxUint16)),
 		Homes: a.homes.digest, Epoch: b.epoch, Entries: b.entries, KnowsAll: a.knowsAllFlows(now),
 		Balancers: uint16(min(len(a.balancers), math.MaxUint16)),
 	}
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -33,6 +33,9 @@
 	Observe observer
 	// LookupRate limits the messages per second that lookups send; 0 means the default.
 	LookupRate float64
+	// Bandwidth of the VM's link in Mbit/s, which bounds the uploads that pass through at the
+	// same time; 0 means that it is not known.
+	Bandwidth float64
 	// OnNewerConfiguration is called when another process has a newer configuration.
 	OnNewerConfiguration func(from IP, v Version)
 
@@ -57,6 +60,7 @@
 	peerCursor          int // position in the sorted peers from which the next status lists them
 	flows               table[flowLocation]
 	openings            openings
+	transfers           transfers
 	homes               homeSet
 	directory           directory
 	lookups             lookups
@@ -96,7 +100,7 @@
 	b.agents.placement, b.agents.zone, b.agents.zonesOut = b.Placement, b.Zone, b.zonesOut
 	b.peers = map[IP]*peerView{}
 	b.flows = newTable[flowLocation](locationRotationInterval, maxLocations)
-	b.openings = newOpenings()
+	b.openings, b.transfers = newOpenings(), newTransfers(b.Bandwidth)
 	b.homes = newHomeSet([]IP{b.Self})
 	b.directory = newDirectory()
 	if b.LookupRate == 0 {
@@ -205,6 +209,7 @@
 	if p.Length == 0 {
 		return false
 	}
+	b.transfers.note(p, at.lastSeq, now)
 	if at.lastSeq != p.Seq {
 		at.lastSeq = p.Seq
 		b.flows.set(p.Flow, at)
@@ -297,6 +302,7 @@
 	b.detectPause(now)
 	b.checkCutOff(now)
 	b.retryExpired(now)
+	b.admitUploads(now)
 	b.runLookups(now)
 	b.flows.rotate(now)
 	b.directory.expire(now)
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -11,13 +11,15 @@
 
 // flowState is what the agent knows about a flow at its upstream.
 type flowState struct {
-	phase      flowPhase
-	hasRequest bool   // a request is in progress
-	finished   bool   // the caller or the upstream has closed or reset it
-	born       int64  // Announcement.Born of the upstream run that has the flow; 0 means unknown
-	accepted   uint32 // sequence number of the upstream's acceptance
-	balancer   IP
-	opening    uint32
+	phase     flowPhase
+	receiving bool      // a request has begun whose last packet has not arrived
+	request   requestID // the request in progress; 0 means none
+	ahead     int       // requests that were at the upstream when that one arrived
+	finished  bool      // the caller or the upstream has closed or reset it
+	born      int64     // Announcement.Born of the upstream run that has the flow; 0 means unknown
+	accepted  uint32    // sequence number of the upstream's acceptance
+	balancer  IP
+	opening   uint32
 	// lookupPending is set while a balancer waits for a report that the flow is here.
 	lookupPending bool
 	// registered is when the flow was last registered at its homes. 0 means never.
@@ -205,13 +207,16 @@
 // trackCallerPacket updates the flow from a packet of the caller, and detects the start of
 // a request.
 //
+// A request is in progress once its last packet has arrived, because the upstream does not
+// work on it before. Otherwise uploads over slow links would make an idle upstream look busy.
+//
 // Only data beyond what was already sent begins a request. A retransmission that arrives
 // after the answer does not: counted as a request it would never end, and an upstream that
 // receives uploads would be considered busy after some minutes.
 func (a *Agent) trackCallerPacket(k Packet, f *flowState, p []byte, now time.Duration) {
 	if k.Fin || k.Reset {
 		f.finished = true
-		a.endRequest(f)
+		a.cancelRequest(f, now)
 	}
 	end := k.Seq + uint32(k.Length)
 	if k.Length == 0 || f.phase != flowOpen {
@@ -222,41 +227,66 @@
 		return
 	}
 	f.callerSent, f.sentUpTo = true, end
-	if f.hasRequest {
+	if f.request != 0 {
 		return
 	}
-	f.hasRequest, f.requestStart = true, now
-	a.underWay++
+	if !f.receiving {
+		f.requestStart = now
+		a.logRequest(k.Flow, p, now)
+	}
+	if f.receiving = k.Full; !f.receiving {
+		f.request, f.ahead = a.requests.begin(a.upstream.slotCount(), now)
+	}
+}
+
+func (a *Agent) logRequest(f Flow, p []byte, now time.Duration) {
 	if a.Log != nil {
 		a.Log.logDecision(decision{
-			event: events.RequestUnderWay, flow: k.Flow, request: a.Format.RequestID(p),
-			hop: uint8(min(a.underWay, 255)), version: a.version,
+			event: events.RequestUnderWay, flow: f, request: a.Format.RequestID(p),
+			hop: uint8(min(a.requests.count(), 255)), version: a.version,
 		}, now)
 	}
 }
 
-// endRequest marks the flow as having no request in progress.
-func (a *Agent) endRequest(f *flowState) {
-	if f.hasRequest {
-		f.hasRequest = false
-		a.underWay--
+// endRequest ends the flow's request, whose answer has begun.
+func (a *Agent) endRequest(f *flowState, now time.Duration) {
+	if f.request == 0 {
+		return
+	}
+	if a.requests.end(f.request, f.ahead, a.upstream.slotCount(), now) {
+		a.Observe.record(ObserveRequest, now-f.requestStart)
+	} else {
+		a.Count.Rejected++
+	}
+	f.request = 0
+}
+
+// cancelRequest ends the flow's request without an answer.
+func (a *Agent) cancelRequest(f *flowState, now time.Duration) {
+	if f.request != 0 {
+		a.requests.cancel(f.request, a.upstream.slotCount(), now)
+		f.request = 0
 	}
 }
 
 // recount recomputes the counts from the flows, so that a flow whose end was missed can't
 // make the upstream look busy for long.
 func (a *Agent) recount(now time.Duration) {
-	a.openFlows, a.underWay = 0, 0
+	a.openFlows = 0
+	valid := map[requestID]bool{}
 	for _, f := range a.flows.all() {
 		if f.phase != flowOpen || f.finished || !a.isCurrentRun(f.born) {
 			continue
 		}
 		a.openFlows++
-		f.hasRequest = f.hasRequest && now-f.requestStart < maxRequestDuration
-		if f.hasRequest {
-			a.underWay++
+		if now-f.requestStart >= maxRequestDuration {
+			f.request = 0
+		}
+		if f.request != 0 {
+			valid[f.request] = true
 		}
 	}
+	a.requests.retain(valid, a.upstream.slotCount(), now)
 }
 
 // returnPacket reports to the balancer that the flow of a packet is not here. It returns
@@ -346,7 +376,7 @@
 	switch {
 	case k.Reset:
 		f.finished = true
-		a.endRequest(f)
+		a.cancelRequest(f, now)
 		return
 	case k.Open:
 		if f.phase <= flowOffered {
@@ -370,9 +400,8 @@
 		a.openFlows++
 		a.register(k.Flow, f, now)
 	}
-	if k.Length > 0 && f.hasRequest {
-		a.endRequest(f)
-		a.Observe.record(ObserveRequest, now-f.requestStart)
+	if k.Length > 0 {
+		a.endRequest(f, now)
 	}
 	if f.lookupPending {
 		a.reportHeld(k.Flow, f)
@@ -382,22 +411,20 @@
 	}
 }
 
-func (a *Agent) removeFlow(f Flow, s *flowState) {
+func (a *Agent) removeFlow(f Flow, s *flowState, now time.Duration) {
 	a.flows.remove(f)
-	a.uncountFlow(s)
+	a.uncountFlow(s, now)
 }
 
 // uncountFlow removes a flow from the counts.
-func (a *Agent) uncountFlow(s *flowState) {
+func (a *Agent) uncountFlow(s *flowState, now time.Duration) {
 	if !a.isCurrentRun(s.born) {
 		return // the counts are those of another run of the upstream
 	}
 	if s.phase == flowOpen {
 		a.openFlows--
 	}
-	if s.hasRequest {
-		a.underWay--
-	}
+	a.cancelRequest(s, now)
 }
 
 // handleBounced handles a packet that the upstream bounced: it resets a flow that was open
@@ -412,12 +439,12 @@
 	f, known := a.flows.get(k.Flow)
 	if known && f.phase == flowOpen && !f.finished {
 		// The upstream lost a flow that was open there, so it has restarted.
-		a.uncountFlow(f)
+		a.uncountFlow(f, now)
 		a.endLostFlow(k, f, now)
 		return
 	}
 	if known {
-		a.removeFlow(k.Flow, f)
+		a.removeFlow(k.Flow, f, now)
 	}
 	if k.Open {
 		a.decline(x.balancer, Message{Opening: x.opening}, k.Flow, ReasonFull, now)
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -78,7 +78,7 @@
 
 // requestCount returns the number of requests that the upstream has or will have shortly.
 func (a *Agent) requestCount(now time.Duration) int {
-	return a.underWay + a.expectedRequests.count(now)
+	return a.requests.count() + a.expectedRequests.count(now)
 }
 
 // load returns the number of flows and requests that there are or will be shortly.
@@ -141,7 +141,7 @@
 		a.Count.Taken++
 		a.Log.logDecision(decision{
 			event: events.OpeningTaken, flow: k.Flow, agent: from, version: a.version,
-			hop: uint8(min(a.underWay, 255)),
+			hop: uint8(min(a.requests.count(), 255)),
 		}, now)
 	}
 	f.balancer, f.opening = from, h.Opening
--- a/datagram/gate_test.go
+++ b/datagram/gate_test.go
@@ -13,6 +13,11 @@
 	draining.Draining = true
 	cold := ready
 	cold.Cold = 5 * time.Second
+	fill := func(a *Agent, n int) {
+		for range n {
+			a.requests.begin(5, now)
+		}
+	}
 	for name, x := range map[string]struct {
 		prepare func(*Agent)
 		opening Message
@@ -81,11 +86,11 @@
 			a.setZonesOut(nil, 9, now)
 		}, Message{Service: 7}, ReasonNone},
 		"agent leaves":           {func(a *Agent) { a.HandleAnnouncement(&ready, now); a.Leave(now) }, Message{Service: 7}, ReasonDraining},
-		"busy":                   {func(a *Agent) { a.HandleAnnouncement(&ready, now); a.underWay = 10 }, Message{Service: 7}, ReasonBusy},
-		"busy, repeated":         {func(a *Agent) { a.HandleAnnouncement(&ready, now); a.underWay = 10 }, Message{Service: 7, Priority: PriorityRepeated}, ReasonBusy},
-		"busy, repeated, urgent": {func(a *Agent) { a.HandleAnnouncement(&ready, now); a.underWay = 10 }, Message{Service: 7, Priority: PriorityUrgent}, ReasonNone},
-		"full, repeated, urgent": {func(a *Agent) { a.HandleAnnouncement(&ready, now); a.underWay = 15 }, Message{Service: 7, Priority: PriorityUrgent}, ReasonBusy},
-		"almost busy":            {func(a *Agent) { a.HandleAnnouncement(&ready, now); a.underWay = 9 }, Message{Service: 7}, ReasonNone},
+		"busy":                   {func(a *Agent) { a.HandleAnnouncement(&ready, now); fill(a, 10) }, Message{Service: 7}, ReasonBusy},
+		"busy, repeated":         {func(a *Agent) { a.HandleAnnouncement(&ready, now); fill(a, 10) }, Message{Service: 7, Priority: PriorityRepeated}, ReasonBusy},
+		"busy, repeated, urgent": {func(a *Agent) { a.HandleAnnouncement(&ready, now); fill(a, 10) }, Message{Service: 7, Priority: PriorityUrgent}, ReasonNone},
+		"full, repeated, urgent": {func(a *Agent) { a.HandleAnnouncement(&ready, now); fill(a, 15) }, Message{Service: 7, Priority: PriorityUrgent}, ReasonBusy},
+		"almost busy":            {func(a *Agent) { a.HandleAnnouncement(&ready, now); fill(a, 9) }, Message{Service: 7}, ReasonNone},
 		"cold, no limit":         {func(a *Agent) { a.HandleAnnouncement(&cold, now) }, Message{Service: 7}, ReasonNone},
 		"cold, limit reached": {func(a *Agent) {
 			a.HandleAnnouncement(&cold, now)
@@ -154,16 +159,16 @@
 	piece := func(seq uint32) { a.trackCallerPacket(Packet{Seq: seq, Length: 100}, f, nil, time.Second) }
 	piece(1)
 	piece(101)
-	if a.underWay != 1 {
-		t.Fatalf("%d requests in progress, want 1", a.underWay)
+	if a.requests.count() != 1 {
+		t.Fatalf("%d requests in progress, want 1", a.requests.count())
 	}
 	a.trackUpstreamPacket(Packet{Length: 5}, f, time.Second)
 	piece(101)
-	if a.underWay != 0 {
-		t.Errorf("%d requests in progress after the answer", a.underWay)
+	if a.requests.count() != 0 {
+		t.Errorf("%d requests in progress after the answer", a.requests.count())
 	}
 	piece(201)
-	if a.underWay != 1 {
+	if a.requests.count() != 1 {
 		t.Errorf("the next request is not counted")
 	}
 }
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -191,12 +191,13 @@
 	ReasonHomeSilent
 	ReasonHomeUnsure
 	ReasonAgentSilent
+	ReasonLinkBusy
 	reasonEnd
 )
 
 var reasonNames = [reasonEnd]string{
 	"", "wrongService", "upstreamUnknown", "draining", "zoneOut", "cold", "full", "busy",
-	"noRoute", "noAgent", "notFound", "noAnswer", "upstreamGone", "cutOff", "homeSilent", "homeUnsure", "agentSilent",
+	"noRoute", "noAgent", "notFound", "noAnswer", "upstreamGone", "cutOff", "homeSilent", "homeUnsure", "agentSilent", "linkBusy",
 }
 
 // String returns the name of the reason in the log.
--- a/datagram/observe.go
+++ b/datagram/observe.go
@@ -94,7 +94,7 @@
 func (a *Agent) Status(time.Duration) AgentState {
 	s := AgentState{
 		Counts: a.Count, Upstream: a.upstream.id, State: a.upstream.state.String(), Known: a.flows.len(), Open: a.openFlows,
-		UnderWay: a.underWay, Balancers: len(a.balancers), ZoneOut: a.zoneOut, Revision: a.revision, Version: a.version,
+		UnderWay: a.requests.count(), Balancers: len(a.balancers), ZoneOut: a.zoneOut, Revision: a.revision, Version: a.version,
 	}
 	if a.Log != nil {
 		s.LinesLeftOut = a.Log.LeftOut
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -48,6 +48,7 @@
 	busy          bool     // some agent was busy, so capacity will become free
 	priority      Priority // priority at which it was last sent
 	forced        bool     // it was already sent at a retry priority in this round
+	waitsForLink  bool     // too many uploads pass through the balancer
 	waiting       bool     // all agents were busy; it is tried again at the deadline
 	urgent        bool
 	targetLatency time.Duration
@@ -187,6 +188,10 @@
 		o.length = copy(o.packet[HeaderLen:], m[HeaderLen:])
 	}
 	b.flows.set(p.Flow, flowLocation{opening: o.id})
+	if !b.transfers.admit(o.flow, now) {
+		b.waitForLink(o, now)
+		return
+	}
 	b.tryNextAgent(o, now)
 }
 
@@ -297,8 +302,13 @@
 		}, now)
 		return
 	}
+	b.refuseOpening(o, ReasonFull, now)
+}
+
+// refuseOpening resets an opening that no upstream has, so that its caller knows at once.
+func (b *Balancer) refuseOpening(o *opening, r Reason, now time.Duration) {
 	p, _ := b.Format.Parse(o.packet[HeaderLen : HeaderLen+o.length])
-	b.refuse(o.flow, p.Seq, ReasonFull, now)
+	b.refuse(o.flow, p.Seq, r, now)
 	b.removeOpening(o)
 }
 
@@ -381,7 +391,11 @@
 	for b.openings.nextDeadline() <= now {
 		o := b.openings.get(b.openings.queue[0].id)
 		b.openings.queue = b.openings.queue[1:]
-		if o.waiting {
+		switch {
+		case o.waitsForLink:
+			b.refuseOpening(o, ReasonLinkBusy, now)
+			continue
+		case o.waiting:
 			b.retryWaiting(o, now)
 			continue
 		}
--- a/datagram/packet.go
+++ b/datagram/packet.go
@@ -105,6 +105,9 @@
 	Scratch uint32
 	// Length is the number of data bytes.
 	Length int
+	// Full is set if the packet carries as many data bytes as fit into one, so that as a rule
+	// more of the same request follows.
+	Full bool
 }
 
 // Format parses and writes packets in the platform's format.
