Admit urgent openings by the time that they have left, and hold them for the next place

Declined openings wait at their balancer and ask again each 40 ms, while each place that becomes free goes to the next request on an open flow. Whoever did not get one ended in silence after 1.3 s. Change: an opening carries the time that its first request has left. The agent estimates the service time (slot time used by completed requests, so waiting is left out) and the answer's time behind those in progress, and learns from rejections how many the upstream takes; an urgent opening is accepted while it can be in time. One that finds the upstream full is held by the agent for 40 ms and gets the next place. Its balancer asks three agents and sends it to the least loaded, instead of sixteen. An opening that is given up after all agents declined it is reset, if no upstream can have it. Tests: TestAgentAdmitsOpenings looks at the answer after an urgent opening may have been held; of TestOpeningWaitsForCapacity the urgent case is now TestUrgentOpeningWaitsAtAgents, with the same bound of messages.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -65,6 +65,7 @@
 	openFlows        int
 	requests         requests
 	expectedRequests expectedRequests
+	held             []heldOpening // the oldest first
 	lastRecount      time.Duration
 	probing          bool
 	lastProbe        time.Duration // when the last probe began; 0: never
@@ -85,8 +86,8 @@
 	NotMine, Mine, Packets, Answers, Dropped      uint64
 	BadMessages, BadPackets, BadAnnouncements     uint64
 	// Rejected is the number of requests that the upstream rejected because its queue was
-	// full.
-	Rejected uint64
+	// full, Held the number of openings that waited for a place at the upstream.
+	Rejected, Held uint64
 }
 
 type balancerView struct {
@@ -271,6 +272,7 @@
 	a.flows.rotate(now)
 	a.probe(now)
 	a.reportNotBounced(now)
+	a.releaseHeld(now)
 	if now-a.lastRecount >= recountInterval {
 		a.lastRecount = now
 		a.recount(now)
@@ -298,7 +300,7 @@
 		a.updateHomes(now)
 		a.expirePreviousHomes(now)
 	}
-	at := min(a.lastStatus+StatusInterval, a.nextProbe())
+	at := min(a.lastStatus+StatusInterval, a.nextProbe(), a.nextHeld())
 	if len(a.bouncesAwaited) > 0 {
 		at = min(at, a.bouncesAwaited[0].since+bounceTimeout)
 	}
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -112,10 +112,10 @@
 
 // noteDecline records that the agent refused an opening of the priority while its upstream
 // had the given number of requests. It would also refuse openings of every other priority
-// whose limit that number reaches.
+// whose limit that number reaches. The limit of PriorityUrgent is the agent's to compute.
 func (a *agentView) noteDecline(p Priority, requests int, now time.Duration) {
 	for q := range priorityEnd {
-		if q == p || q.limit()*float64(max(a.status.Slots, 1)) <= float64(requests) {
+		if q == p || q != PriorityUrgent && q.limit()*float64(max(a.status.Slots, 1)) <= float64(requests) {
 			a.declinedAt[q] = now
 		}
 	}
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -111,7 +111,10 @@
 	if f.lookupPending && f.phase == flowOpen {
 		a.reportHeld(k.Flow, f)
 	}
-	a.trackCallerPacket(k, f, p, now)
+	complete := a.trackCallerPacket(k, f, p, now)
+	if complete {
+		a.beginRequest(f, now)
+	}
 	a.sendUpstream(p, pending{balancer: from, flags: h.Flags})
 }
 
@@ -204,8 +207,8 @@
 // connection at the upstream's address either, there is no upstream.
 const firstAnnouncementTimeout = 2 * time.Second
 
-// trackCallerPacket updates the flow from a packet of the caller, and detects the start of
-// a request.
+// trackCallerPacket updates the flow from a packet of the caller. It reports whether the packet
+// is the last one of a request.
 //
 // A request is in progress once its last packet has arrived, because the upstream does not
 // work on it before. Otherwise uploads over slow links would make an idle upstream look busy.
@@ -213,30 +216,34 @@
 // Only data beyond what was already sent begins a request. A retransmission that arrives
 // after the answer does not: counted as a request it would never end, and an upstream that
 // receives uploads would be considered busy after some minutes.
-func (a *Agent) trackCallerPacket(k Packet, f *flowState, p []byte, now time.Duration) {
+func (a *Agent) trackCallerPacket(k Packet, f *flowState, p []byte, now time.Duration) (complete bool) {
 	if k.Fin || k.Reset {
 		f.finished = true
 		a.cancelRequest(f, now)
 	}
 	end := k.Seq + uint32(k.Length)
 	if k.Length == 0 || f.phase != flowOpen {
-		return
+		return false
 	}
 	if f.callerSent && int32(end-f.sentUpTo) <= 0 {
 		a.upstream.callerRetransmitted = a.upstream.callerRetransmitted || now-a.upstream.lastPacket > muteTimeout
-		return
+		return false
 	}
 	f.callerSent, f.sentUpTo = true, end
 	if f.request != 0 {
-		return
+		return false
 	}
 	if !f.receiving {
 		f.requestStart = now
 		a.logRequest(k.Flow, p, now)
 	}
-	if f.receiving = k.Full; !f.receiving {
-		f.request, f.ahead = a.requests.begin(a.upstream.slotCount(), now)
-	}
+	f.receiving = k.Full
+	return !f.receiving
+}
+
+// beginRequest counts the flow's request as in progress.
+func (a *Agent) beginRequest(f *flowState, now time.Duration) {
+	f.request, f.ahead = a.requests.begin(a.upstream.slotCount(), now)
 }
 
 func (a *Agent) logRequest(f Flow, p []byte, now time.Duration) {
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -94,11 +94,22 @@
 // that announce themselves first would otherwise get several times their share before the
 // next status.
 func (a *Agent) isBusy(h Message, now time.Duration) bool {
+	n, slots := a.requestCount(now), a.upstream.slotCount()
 	limit := h.Priority.limit()
 	if h.Priority == PriorityFirst && a.BusyAt != 0 {
 		limit = a.BusyAt
 	}
-	return limit > 0 && float64(a.requestCount(now)) >= limit*float64(a.upstream.slotCount())
+	if s := a.requests.serviceTime(); h.Priority == PriorityUrgent && s > 0 && h.Budget > 0 {
+		return n >= slots && (a.requests.isFull(n) || responseTime(s, n, slots) > h.Budget.duration())
+	}
+	return limit > 0 && float64(n) >= limit*float64(slots)
+}
+
+// responseTime estimates when a request is answered that arrives behind n others at an
+// upstream that processes them in order: the waiting time, and one request's service time
+// with a margin for those that take longer than the mean.
+func responseTime(service time.Duration, n, slots int) time.Duration {
+	return service*time.Duration(max(0, n+1-slots))/time.Duration(slots) + service*3/2
 }
 
 // expectedRequests counts openings that were forwarded to the upstream and whose requests
@@ -122,7 +133,8 @@
 	return int(c.n)
 }
 
-// handleOpening forwards an opening to the upstream, or refuses it.
+// handleOpening forwards an opening to the upstream, holds it back for a moment, or refuses
+// it.
 func (a *Agent) handleOpening(from IP, h Message, p []byte, now time.Duration) {
 	k, ok := a.Format.Parse(p)
 	if !ok || !k.Open {
@@ -131,22 +143,33 @@
 	}
 	f, _ := a.flows.get(k.Flow)
 	if f == nil || f.phase == flowUnconfirmed {
-		if r := a.refusalReason(h, now); r != ReasonNone {
+		switch r := a.refusalReason(h, now); {
+		case r == ReasonBusy && a.hold(from, h, k.Flow, p, now):
+			return
+		case r != ReasonNone:
 			a.decline(from, h, k.Flow, r, now)
 			return
 		}
+	}
+	a.offer(from, h, k.Flow, p, now)
+}
+
+// offer forwards an opening to the upstream.
+func (a *Agent) offer(from IP, h Message, k Flow, p []byte, now time.Duration) {
+	f, _ := a.flows.get(k)
+	if f == nil || f.phase == flowUnconfirmed {
 		f = &flowState{phase: flowOffered, born: a.upstream.born, since: now}
-		a.flows.set(k.Flow, f)
+		a.flows.set(k, f)
 		a.expectedRequests.add(1, now)
 		a.Count.Taken++
 		a.Log.logDecision(decision{
-			event: events.OpeningTaken, flow: k.Flow, agent: from, version: a.version,
+			event: events.OpeningTaken, flow: k, agent: from, version: a.version,
 			hop: uint8(min(a.requests.count(), 255)),
 		}, now)
 	}
 	f.balancer, f.opening = from, h.Opening
 	if a.upstream.isSilent(now) {
-		a.decline(from, h, k.Flow, ReasonNoAnswer, now)
+		a.decline(from, h, k, ReasonNoAnswer, now)
 	}
 	if a.upstream.unansweredSince == 0 {
 		a.upstream.unansweredSince = now
--- a/datagram/gate_test.go
+++ b/datagram/gate_test.go
@@ -106,6 +106,7 @@
 			x.opening.Kind = KindOpening
 			x.opening.Put(b, a.Keys[0])
 			a.HandleMessage(1, b, now)
+			a.Tick(now + maxHoldTime) // an urgent opening may have been held back until now
 			if x.want == ReasonNone {
 				if s.upstream != 1 || len(s.process) != 0 {
 					t.Errorf("opening forwarded %d times, answers %+v", s.upstream, s.process)
@@ -156,7 +157,11 @@
 	a := &Agent{Format: plainFormat{}}
 	a.Start()
 	f := &flowState{phase: flowOpen}
-	piece := func(seq uint32) { a.trackCallerPacket(Packet{Seq: seq, Length: 100}, f, nil, time.Second) }
+	piece := func(seq uint32) {
+		if a.trackCallerPacket(Packet{Seq: seq, Length: 100}, f, nil, time.Second) {
+			a.beginRequest(f, time.Second)
+		}
+	}
 	piece(1)
 	piece(101)
 	if a.requests.count() != 1 {
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"time"
 
 	"pomeloway.example/pomeloway/link"
 )
@@ -62,6 +63,9 @@
 	// the upstream.
 	Priority Priority
 	Requests uint8
+	// Budget is set in openings: the time left to answer the flow's first request within its
+	// target latency.
+	Budget Budget
 	// Flags are set in lookups and in the answers to them.
 	Flags Flags
 	// Opening is the number that the balancer gave to this attempt to open a flow.
@@ -106,6 +110,26 @@
 
 func (r ColdRate) perSecond() float64 { return float64(r) / 10 }
 
+// Budget is a duration on the wire, in units of budgetUnit. 0 means that there is no limit.
+type Budget uint8
+
+const budgetUnit = 8 * time.Millisecond
+
+// budgetOf converts d, rounded down. Durations that don't fit become the longest one.
+func budgetOf(d time.Duration) Budget {
+	return Budget(max(0, min(d/budgetUnit, math.MaxUint8)))
+}
+
+// after returns what is left of the budget after d. It stays a limit if b is one.
+func (b Budget) after(d time.Duration) Budget {
+	if b == 0 {
+		return 0
+	}
+	return max(1, budgetOf(b.duration()-d))
+}
+
+func (b Budget) duration() time.Duration { return time.Duration(b) * budgetUnit }
+
 // HeaderLen is the length of a message header in bytes.
 const HeaderLen = 28
 
@@ -134,7 +158,7 @@
 	b[0], b[1], b[2], b[3], b[4] = messageMagic, byte(m.Kind), byte(k.ID()), byte(m.Reason), m.Requests
 	b[5] = byte(m.Flags)
 	if m.Kind == KindOpening {
-		b[4] = byte(m.Priority)
+		b[3], b[4] = byte(m.Budget), byte(m.Priority)
 		binary.BigEndian.PutUint16(b[6:], uint16(m.Cold))
 	} else {
 		binary.BigEndian.PutUint16(b[6:], m.Load)
@@ -158,8 +182,9 @@
 		return nil, false
 	}
 	m.Reason, m.Flags = Reason(b[3]), Flags(b[5])
-	m.Priority, m.Requests, m.Cold, m.Load = 0, 0, 0, 0
+	m.Priority, m.Requests, m.Budget, m.Cold, m.Load = 0, 0, 0, 0, 0
 	if m.Kind == KindOpening {
+		m.Reason, m.Budget = ReasonNone, Budget(b[3])
 		m.Priority, m.Cold = Priority(b[4]), ColdRate(binary.BigEndian.Uint16(b[6:]))
 	} else {
 		m.Requests, m.Load = b[4], binary.BigEndian.Uint16(b[6:])
@@ -191,13 +216,14 @@
 	ReasonHomeSilent
 	ReasonHomeUnsure
 	ReasonAgentSilent
+	ReasonOverloaded
 	ReasonLinkBusy
 	reasonEnd
 )
 
 var reasonNames = [reasonEnd]string{
 	"", "wrongService", "upstreamUnknown", "draining", "zoneOut", "cold", "full", "busy",
-	"noRoute", "noAgent", "notFound", "noAnswer", "upstreamGone", "cutOff", "homeSilent", "homeUnsure", "agentSilent", "linkBusy",
+	"noRoute", "noAgent", "notFound", "noAnswer", "upstreamGone", "cutOff", "homeSilent", "homeUnsure", "agentSilent", "overloaded", "linkBusy",
 }
 
 // String returns the name of the reason in the log.
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -31,31 +31,39 @@
 	// again. It is about the time of one request, in which some slots become free.
 	capacityRetryDelay = 40 * time.Millisecond
 	maxOpeningLen      = 128
+	// travelTime is about what the packets of a handshake and a request travel between caller,
+	// balancer and upstream within a region.
+	travelTime = 15 * time.Millisecond
+	// urgentSamples is how many busy agents are asked before an urgent opening goes to the
+	// least loaded of them. More would cost time and hardly find a shorter queue.
+	urgentSamples = 3
 )
 
 // opening is one caller's attempt to open a flow.
 type opening struct {
-	id            uint32
-	flow          Flow
-	agent         IP
-	sentAt        time.Duration // when it was sent to the agent
-	started       time.Duration
-	tried         [maxAttempts]IP
-	attempts      int
-	inconclusive  bool // some agent did not refuse for good: the caller is not reset
-	leastBusy     IP   // the least loaded of the busy agents, with its load
-	leastBusyLoad uint16
-	busy          bool     // some agent was busy, so capacity will become free
-	priority      Priority // priority at which it was last sent
-	forced        bool     // it was already sent at a retry priority in this round
-	waitsForLink  bool     // too many uploads pass through the balancer
-	waiting       bool     // all agents were busy; it is tried again at the deadline
-	urgent        bool
-	targetLatency time.Duration
-	packet        [HeaderLen + maxOpeningLen]byte
-	length        int
-	service       ServiceKey
-	deadline      time.Duration // 0 means none
+	id                uint32
+	flow              Flow
+	agent             IP
+	sentAt            time.Duration // when it was sent to the agent
+	started           time.Duration
+	tried             [maxAttempts]IP
+	attempts          int
+	inconclusive      bool // some agent did not refuse for good: the caller is not reset
+	unanswered        bool // an agent did not answer, so its upstream may have the flow
+	leastBusy         IP   // the least loaded of the busy agents, with its load
+	leastBusyRequests uint8
+	declines          int      // agents that declined as busy in this round
+	busy              bool     // some agent was busy, so capacity will become free
+	priority          Priority // priority at which it was last sent
+	forced            bool     // it was already sent at a retry priority in this round
+	waitsForLink      bool     // too many uploads pass through the balancer
+	waiting           bool     // all agents were busy; it is tried again at the deadline
+	urgent            bool
+	targetLatency     time.Duration
+	packet            [HeaderLen + maxOpeningLen]byte
+	length            int
+	service           ServiceKey
+	deadline          time.Duration // 0 means none
 }
 
 // openings is a ring buffer of openings, and a queue of their deadlines in order of time.
@@ -182,8 +190,8 @@
 		return
 	}
 	o := b.openings.add()
-	o.flow, o.service, o.started, o.urgent, o.targetLatency =
-		p.Flow, s, now-retransmissionAge(p.AckNumber), r.Urgent, r.TargetLatency
+	o.flow, o.service, o.started = p.Flow, s, now-retransmissionAge(p.AckNumber)
+	o.urgent, o.targetLatency = r.Urgent, r.TargetLatency
 	if n := len(m) - HeaderLen; n <= maxOpeningLen {
 		o.length = copy(o.packet[HeaderLen:], m[HeaderLen:])
 	}
@@ -200,10 +208,21 @@
 	if o.deadline != 0 {
 		return // an agent is being asked, or the opening waits for capacity
 	}
-	o.attempts, o.leastBusy, o.busy, o.forced = 0, 0, false, false
+	o.attempts, o.declines, o.leastBusy, o.busy, o.forced = 0, 0, 0, false, false
 	b.tryNextAgent(o, now)
 }
 
+// retryBusy continues an opening that found all agents busy. An urgent one that can still be
+// in time is sent to an agent, which may hold it back until there is a place at its upstream.
+// Others wait at the balancer.
+func (b *Balancer) retryBusy(o *opening, now time.Duration) {
+	if o.retryPriority(now) == PriorityUrgent {
+		b.retryWaiting(o, now)
+		return
+	}
+	b.waitForCapacity(o, now)
+}
+
 // retryWaiting tries an opening again that found all agents busy.
 func (b *Balancer) retryWaiting(o *opening, now time.Duration) {
 	o.waiting = false
@@ -211,7 +230,7 @@
 	a, c, busy := b.agents.choose(o.flow.hash(), o.service, nil, p, now)
 	switch {
 	case now-o.started > openingTimeout, a == nil && !busy:
-		o.deadline = 0
+		b.giveUp(o, now)
 	case a == nil:
 		b.waitForCapacity(o, now)
 	default:
@@ -220,6 +239,23 @@
 	}
 }
 
+// giveUp ends an opening that no agent accepted in time. Its caller is told at once, unless an
+// upstream may have the flow.
+func (b *Balancer) giveUp(o *opening, now time.Duration) {
+	if o.busy && !o.unanswered {
+		b.refuseOpening(o, ReasonOverloaded, now)
+		return
+	}
+	o.deadline = 0
+}
+
+// refuseOpening resets an opening that no upstream has, so that its caller knows at once.
+func (b *Balancer) refuseOpening(o *opening, r Reason, now time.Duration) {
+	p, _ := b.Format.Parse(o.packet[HeaderLen : HeaderLen+o.length])
+	b.refuse(o.flow, p.Seq, r, now)
+	b.removeOpening(o)
+}
+
 // retransmissionAge returns how long after the first copy of an opening a caller sends its
 // n-th retransmission.
 func retransmissionAge(n uint32) time.Duration {
@@ -241,7 +277,7 @@
 	if o.isLate(now) {
 		p = o.retryPriority(now)
 	}
-	if o.attempts < maxAttempts && !o.forced {
+	if o.attempts < maxAttempts && !o.forced && !o.hasSampled() {
 		a, c, busy = b.agents.choose(o.flow.hash(), o.service, o.tried[:o.attempts], p, now)
 	}
 	switch {
@@ -250,7 +286,8 @@
 		o.attempts++
 		b.sendOpening(o, a, c, p, now)
 	case busy && o.leastBusy == 0:
-		b.waitForCapacity(o, now)
+		o.busy = true
+		b.retryBusy(o, now)
 	case o.canForce(b, now):
 		o.forced = true
 		b.sendOpening(o, b.agents.byIP[o.leastBusy], classReady, o.retryPriority(now), now)
@@ -259,6 +296,10 @@
 	}
 }
 
+// hasSampled reports whether enough agents have declined an urgent opening that the least
+// loaded of them is a good choice.
+func (o *opening) hasSampled() bool { return o.urgent && o.declines >= urgentSamples }
+
 // canForce reports whether leastBusy is expected to accept the opening at its retry
 // priority.
 func (o *opening) canForce(b *Balancer, now time.Duration) bool {
@@ -277,10 +318,20 @@
 	o.priority = p
 	b.send(o.packet[:HeaderLen+o.length], Message{
 		Kind: KindOpening, Priority: p, Opening: o.id, Service: o.service, Cold: b.coldRate(o.service),
+		Budget: o.budget(now),
 	}, a.ip)
 	b.openings.startTimeout(o, now)
 }
 
+// budget returns the time left to answer the flow's first request within its target latency,
+// less the time that packets travel.
+func (o *opening) budget(now time.Duration) Budget {
+	if o.targetLatency == 0 {
+		return 0
+	}
+	return max(1, budgetOf(o.targetLatency-travelTime-(now-o.started)))
+}
+
 func (b *Balancer) coldRate(s ServiceKey) ColdRate { return ColdRateOf(b.config.Services[s].ColdRate) }
 
 // endOpeningRound ends a round in which every agent was asked. If all agents refused, no
@@ -289,12 +340,16 @@
 func (b *Balancer) endOpeningRound(o *opening, now time.Duration) {
 	o.deadline = 0
 	if o.busy && now-o.started < openingTimeout-capacityRetryDelay {
-		b.waitForCapacity(o, now)
+		b.retryBusy(o, now)
 		return
 	}
 	if o.attempts == 0 {
 		b.Count.NoAgent++
 	}
+	if o.busy && !o.unanswered {
+		b.refuseOpening(o, ReasonOverloaded, now)
+		return
+	}
 	if o.inconclusive || o.attempts == 0 {
 		b.Log.logDecision(decision{
 			event: events.OpeningNoAgent, flow: o.flow,
@@ -305,13 +360,6 @@
 	b.refuseOpening(o, ReasonFull, now)
 }
 
-// refuseOpening resets an opening that no upstream has, so that its caller knows at once.
-func (b *Balancer) refuseOpening(o *opening, r Reason, now time.Duration) {
-	p, _ := b.Format.Parse(o.packet[HeaderLen : HeaderLen+o.length])
-	b.refuse(o.flow, p.Seq, r, now)
-	b.removeOpening(o)
-}
-
 // waitForCapacity schedules the next try for when some upstream may have a free slot.
 func (b *Balancer) waitForCapacity(o *opening, now time.Duration) {
 	o.waiting, o.busy = true, true
@@ -347,7 +395,9 @@
 	b.Count.Opened++
 	if o := b.openings.get(h.Opening); o != nil && o.flow == f {
 		b.Observe.record(ObserveOpening, now-o.started)
-		b.openings.recordAnswer(o, from, now)
+		if o.priority != PriorityUrgent {
+			b.openings.recordAnswer(o, from, now)
+		}
 		*o = opening{}
 		b.flows.set(f, flowLocation{agent: from})
 	}
@@ -363,20 +413,22 @@
 		return
 	}
 	b.Count.Refused++
-	b.openings.recordAnswer(o, from, now)
+	if o.priority != PriorityUrgent {
+		b.openings.recordAnswer(o, from, now) // an urgent one may have been held back
+	}
 	if a := b.agents.byIP[from]; a != nil {
 		a.updateLoad(h.Load)
 	}
 	switch h.Reason {
 	case ReasonUpstreamUnknown, ReasonNoAnswer:
-		o.inconclusive = true // its upstream may still answer, or announce itself soon
+		o.inconclusive, o.unanswered = true, o.unanswered || h.Reason == ReasonNoAnswer // its upstream may still answer, or announce itself soon
 	case ReasonBusy:
 		o.inconclusive, o.busy = true, true // a slot will be free before the caller gives up
 		if a := b.agents.byIP[from]; a != nil {
 			a.noteDecline(o.priority, int(h.Requests), now)
 		}
-		if o.leastBusy == 0 || h.Load < o.leastBusyLoad {
-			o.leastBusy, o.leastBusyLoad = from, h.Load
+		if o.declines++; o.leastBusy == 0 || h.Requests < o.leastBusyRequests {
+			o.leastBusy, o.leastBusyRequests = from, h.Requests
 		}
 	}
 	b.Log.logDecision(decision{
@@ -406,7 +458,7 @@
 				a.missedOpenings++
 			}
 		}
-		o.inconclusive = true
+		o.inconclusive, o.unanswered = true, true
 		b.Log.logDecision(decision{
 			event: events.OpeningPassed, flow: o.flow, agent: o.agent, reason: ReasonNoAnswer,
 			hop: uint8(o.attempts), version: b.ConfigurationVersion(), age: now - o.sentAt,
--- a/datagram/openings_test.go
+++ b/datagram/openings_test.go
@@ -31,42 +31,60 @@
 // Guards against openings that wait for the caller's retransmission although slots have
 // become free.
 func TestOpeningWaitsForCapacity(t *testing.T) {
-	for name, x := range map[string]struct {
-		urgent   bool
-		first    int // attempts before it waits
-		priority Priority
-	}{
-		"urgent":     {true, 4, PriorityUrgent},
-		"not urgent": {false, 3, PriorityRepeated},
-	} {
-		t.Run(name, func(t *testing.T) {
-			now := 10 * time.Second
-			b, s := testBalancer(t, 3, now-100*time.Millisecond)
-			b.config.Routes[Endpoint{2, 443}] = Route{Shares: []Share{{7, 1}}, Urgent: x.urgent}
-			b.HandleCaller(plainPacket(plainOpening, 1), now)
-			busy := func() {
-				b.handleRefused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, now)
-			}
-			for range x.first {
-				busy()
-			}
-			if len(s.to) != x.first || s.caller != 0 {
-				t.Fatalf("opening sent to %v, %d resets", s.to, s.caller)
-			}
-			now += capacityRetryDelay
-			b.Tick(now)
-			if len(s.to) != x.first+1 || s.process[x.first].Priority != x.priority {
-				t.Fatalf("opening sent to %v, last with priority %d, after waiting %v", s.to, s.process[len(s.to)-1].Priority, capacityRetryDelay)
-			}
-			for range 100 {
-				busy()
-				now += capacityRetryDelay
-				b.Tick(now)
-			}
-			if n := len(s.to); n < 20 || n > 40 {
-				t.Errorf("opening sent %d times in total; its caller gave up after 1.4 s", n)
-			}
-		})
+	now := 10 * time.Second
+	b, s := testBalancer(t, 3, now-100*time.Millisecond)
+	b.HandleCaller(plainPacket(plainOpening, 1), now)
+	busy := func() {
+		b.handleRefused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, now)
+	}
+	for range 3 {
+		busy()
+	}
+	if len(s.to) != 3 || s.caller != 0 {
+		t.Fatalf("opening sent to %v, %d resets", s.to, s.caller)
+	}
+	now += capacityRetryDelay
+	b.Tick(now)
+	if len(s.to) != 4 || s.process[3].Priority != PriorityRepeated {
+		t.Fatalf("opening sent to %v, last with priority %d, after waiting %v", s.to, s.process[len(s.to)-1].Priority, capacityRetryDelay)
+	}
+	for range 100 {
+		busy()
+		now += capacityRetryDelay
+		b.Tick(now)
+	}
+	if n := len(s.to); n < 20 || n > 40 {
+		t.Errorf("opening sent %d times in total; its caller gave up after 1.4 s", n)
+	}
+}
+
+// Guards against urgent openings that wait at their balancer, where they miss the places
+// that become free at upstreams.
+func TestUrgentOpeningWaitsAtAgents(t *testing.T) {
+	now := 10 * time.Second
+	b, s := testBalancer(t, 5, now-100*time.Millisecond)
+	b.config.Routes[Endpoint{2, 443}] = Route{Shares: []Share{{7, 1}}, Urgent: true}
+	b.HandleCaller(plainPacket(plainOpening, 1), now)
+	decline := func(requests uint8) {
+		b.handleRefused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: requests}, now)
+	}
+	for _, n := range []uint8{13, 11, 12} {
+		decline(n)
+	}
+	if len(s.to) != urgentSamples+1 || s.to[urgentSamples] != s.to[1] || s.process[urgentSamples].Priority != PriorityUrgent {
+		t.Fatalf("opening sent to %v, last with priority %d; want the least loaded of the first %d again",
+			s.to, s.process[len(s.to)-1].Priority, urgentSamples)
+	}
+	for range 100 {
+		n := len(s.to)
+		now += maxHoldTime
+		decline(12)
+		if len(s.to) == n && now < 10*time.Second+openingTimeout-maxHoldTime-capacityRetryDelay {
+			t.Fatalf("declined after %v, and not passed to another agent at once", now-10*time.Second)
+		}
+	}
+	if n := len(s.to); n < 20 || n > 40 {
+		t.Errorf("opening sent %d times in total; its caller gave up after 1.4 s", n)
 	}
 }
 
--- a/datagram/requests_test.go
+++ b/datagram/requests_test.go
@@ -85,7 +85,9 @@
 	a.Start()
 	f := &flowState{phase: flowOpen}
 	piece := func(seq uint32, full bool) {
-		a.trackCallerPacket(Packet{Seq: seq, Length: 100, Full: full}, f, nil, time.Second)
+		if a.trackCallerPacket(Packet{Seq: seq, Length: 100, Full: full}, f, nil, time.Second) {
+			a.beginRequest(f, time.Second)
+		}
 	}
 	piece(1, true)
 	piece(101, true)
--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -16,6 +16,8 @@
 	timeout        time.Duration     // time after which a request has failed
 	targetLatency  time.Duration     // answers that take longer count as late
 	flowPerRequest bool              // opens a new flow for each request
+	address        datagram.Endpoint // address of the route
+	workload       *workload         // nil: requests follow each other, and all failures are retried
 	stopped        bool              // sends no further requests
 
 	seq, ack     uint32
@@ -24,13 +26,15 @@
 	attempt      int           // number of the current flow
 	requestStart time.Duration // start of the current request
 	waiting      bool          // the current request has no answer yet
+	retries      int           // retries of the current request
+	outcomes     *outcomes     // where its outcome is counted, if it belongs to a workload
 }
 
 // addCaller adds the n-th caller. It sends its first request within the given pause.
 func (w *simulation) addCaller(n int, pause time.Duration) *caller {
 	c := &caller{
 		w: w, endpoint: datagram.Endpoint{IP: datagram.IP(0x64400000 + n), Port: 1024}, pause: pause,
-		timeout: time.Second, targetLatency: routeTargetLatency,
+		timeout: time.Second, targetLatency: routeTargetLatency, address: routeAddress,
 	}
 	w.callers[c.endpoint.IP] = c
 	w.after(time.Duration(w.rng.Int64N(int64(pause))), c.startRequest)
@@ -38,7 +42,7 @@
 }
 
 func (c *caller) flow() datagram.Flow {
-	return datagram.Flow{Caller: c.endpoint, Address: routeAddress}
+	return datagram.Flow{Caller: c.endpoint, Address: c.address}
 }
 
 // startRequest starts a request and its timeout.
@@ -47,7 +51,7 @@
 		return
 	}
 	c.request++
-	c.requestStart, c.waiting = c.w.now, true
+	c.requestStart, c.waiting, c.retries = c.w.now, true, 0
 	c.w.second(c.requestStart).Begun++
 	if c.w.measureFrom > 0 && c.w.now >= c.w.measureFrom {
 		c.w.measuredStarted++
@@ -55,6 +59,9 @@
 	n := c.request
 	c.w.after(c.timeout, func() {
 		if c.waiting && c.request == n {
+			if c.workload != nil {
+				c.outcomes.silent++
+			}
 			c.w.failed++
 			c.w.second(c.requestStart).Failed++
 			if owner := c.w.owners[c.flow()]; c.open && owner != nil && owner.alive && c.w.measureFrom > 0 && c.requestStart >= c.w.measureFrom {
@@ -74,6 +81,10 @@
 // endRequest ends the current request and schedules the next one.
 func (c *caller) endRequest() {
 	c.waiting = false
+	if c.workload != nil {
+		c.workload.idle = append(c.workload.idle, c)
+		return
+	}
 	c.w.after(c.pause/2+time.Duration(c.w.rng.Int64N(int64(c.pause))), c.startRequest)
 }
 
@@ -85,28 +96,54 @@
 	c.attempt++
 }
 
+// openingTimeout is how long a caller waits for its flow to open.
+const openingTimeout = 1400 * time.Millisecond
+
 // openFlow opens a new flow. It sends the opening packet up to three times.
 func (c *caller) openFlow() {
 	c.closeFlow()
 	c.endpoint.Port++
 	c.seq = c.w.rng.Uint32()
 	attempt := c.attempt
+	if c.workload != nil {
+		c.w.after(openingTimeout, func() {
+			if c.attempt == attempt && !c.open {
+				c.retry()
+			}
+		})
+	}
 	for i, d := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		c.w.after(d, func() {
 			if c.attempt == attempt && !c.open && c.waiting {
-				c.w.sendToBalancer(encodePacket(c.endpoint, routeAddress, flagOpen, c.seq, uint32(i), ""), c.flow())
+				c.w.sendToBalancer(encodePacket(c.endpoint, c.address, flagOpen, c.seq, uint32(i), ""), c.flow())
 			}
 		})
 	}
 }
 
+// retry opens another flow for a request whose flow was refused or closed, or gives it up.
+func (c *caller) retry() {
+	if !c.waiting {
+		return
+	}
+	if c.workload != nil && c.retries >= c.workload.retries {
+		c.outcomes.refused++
+		c.w.failed++
+		c.w.second(c.requestStart).Failed++
+		c.endRequest()
+		return
+	}
+	c.retries++
+	c.openFlow()
+}
+
 // sendRequest sends request n and repeats it, with a growing delay, until it is
 // answered or the flow is closed.
 func (c *caller) sendRequest(n, attempt int, retryAfter time.Duration) {
 	if !c.waiting || c.request != n || c.attempt != attempt {
 		return
 	}
-	c.w.sendToBalancer(encodePacket(c.endpoint, routeAddress, flagAck, c.seq+1, c.ack, "GET / HTTP/1.1\r\nX-Request-Id: r\r\n\r\n"), c.flow())
+	c.w.sendToBalancer(encodePacket(c.endpoint, c.address, flagAck, c.seq+1, c.ack, "GET / HTTP/1.1\r\nX-Request-Id: r\r\n\r\n"), c.flow())
 	c.w.after(retryAfter, func() { c.sendRequest(n, attempt, min(2*retryAfter, 1600*time.Millisecond)) })
 }
 
@@ -124,16 +161,14 @@
 			c.w.recordBreach("reset of flow " + c.endpoint.String() + ", which lives")
 		}
 		c.closeFlow()
-		if c.waiting {
-			c.openFlow()
-		}
+		c.retry()
 	case p.Open && !c.open && c.waiting:
 		c.open, c.ack = true, p.Seq+1
 		c.sendRequest(c.request, c.attempt, 200*time.Millisecond)
 	case p.Length == len(shedAnswer) && c.open && c.waiting:
 		c.w.shed++
 		c.closeFlow()
-		c.openFlow()
+		c.retry()
 	case p.Length > 0 && c.open && c.waiting:
 		c.recordAnswer(c.w.now - c.requestStart)
 		c.seq += 100
@@ -145,6 +180,11 @@
 func (c *caller) recordAnswer(d time.Duration) {
 	w := c.w
 	w.answered++
+	if c.workload != nil && d <= c.targetLatency {
+		c.outcomes.inAim++
+	} else if c.workload != nil {
+		c.outcomes.late++
+	}
 	if d > c.targetLatency {
 		w.late++
 		w.second(c.requestStart).Late++
--- a/experiment/upstream.go
+++ b/experiment/upstream.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"encoding/binary"
 	"time"
 
@@ -22,7 +23,8 @@
 	born           int64                    // start time in ms, which identifies this run
 	sequence       int64                    // number of the latest heartbeat
 	slots          int                      // requests processed at the same time
-	serviceTime    time.Duration            // processing time of a request
+	serviceTime    time.Duration            // processing time of a request, unless its workload has another
+	queue          int                      // requests queued before more are shed; 0: maxQueuedRequests
 	slotFreeAt     []time.Duration          // when each slot is free
 	pending        int                      // requests in process or queued
 	lastRequestSeq map[datagram.Flow]uint32 // sequence number of the latest request
@@ -167,7 +169,7 @@
 		return // no data, or a retransmission of a request that was received already
 	}
 	u.lastRequestSeq[p.Flow] = p.Seq
-	if u.pending >= u.slots+maxQueuedRequests {
+	if u.pending >= u.slots+cmp.Or(u.queue, maxQueuedRequests) {
 		u.send(encodePacket(p.Flow.Address, p.Flow.Caller, flagAck, h.seq+1, p.Seq+uint32(p.Length), shedAnswer))
 		return
 	}
@@ -181,7 +183,7 @@
 			slot = i
 		}
 	}
-	work := u.serviceTime
+	work := w.serviceTime(p, u)
 	if w.now-u.startedAt < 2*time.Second {
 		work = work * 8 / 5 // it is slower shortly after its start
 	}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -34,6 +34,7 @@
 	balancers       map[datagram.IP]*balancerVM
 	agents          map[datagram.IP]*agentVM
 	callers         map[datagram.IP]*caller
+	workloads       []*workload                 // requests besides those of addCaller
 	owners          map[datagram.Flow]*upstream // upstream that owns each open flow
 	misroutes       map[datagram.Flow]*misroute
 	lossRate        float64              // share of datagrams that are lost
