Keep requests on open flows back while every request behind them would be late

First requests of a flow, urgent ones and uploads pass, and so does everything at an upstream that is full, which rejects it at once. The target of a route is learned from openings.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -65,7 +65,9 @@
 	openFlows        int
 	requests         requests
 	expectedRequests expectedRequests
-	held             []heldOpening // the oldest first
+	held             []heldOpening       // the oldest first
+	paced            []pacedRequest      // the oldest first
+	targets          map[Endpoint]Budget // target latencies of routes, as far as they are known
 	lastRecount      time.Duration
 	probing          bool
 	lastProbe        time.Duration // when the last probe began; 0: never
@@ -86,8 +88,9 @@
 	NotMine, Mine, Packets, Answers, Dropped      uint64
 	BadMessages, BadPackets, BadAnnouncements     uint64
 	// Rejected is the number of requests that the upstream rejected because its queue was
-	// full, Held the number of openings that waited for a place at the upstream.
-	Rejected, Held uint64
+	// full, Held the number of openings that waited for a place at the upstream, Paced
+	// that of requests on open flows that did.
+	Rejected, Held, Paced uint64
 }
 
 type balancerView struct {
@@ -131,6 +134,7 @@
 // Start initializes the agent. Its exported fields must be set before.
 func (a *Agent) Start() {
 	a.balancers = map[IP]*balancerView{}
+	a.targets = map[Endpoint]Budget{}
 	a.flows = newTable[*flowState](flowRotationInterval, maxFlows)
 }
 
@@ -273,6 +277,7 @@
 	a.probe(now)
 	a.reportNotBounced(now)
 	a.releaseHeld(now)
+	a.releasePaced(now)
 	if now-a.lastRecount >= recountInterval {
 		a.lastRecount = now
 		a.recount(now)
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -11,15 +11,18 @@
 
 // flowState is what the agent knows about a flow at its upstream.
 type flowState struct {
-	phase     flowPhase
-	receiving bool      // a request has begun whose last packet has not arrived
-	request   requestID // the request in progress; 0 means none
-	ahead     int       // requests that were at the upstream when that one arrived
-	finished  bool      // the caller or the upstream has closed or reset it
-	born      int64     // Announcement.Born of the upstream run that has the flow; 0 means unknown
-	accepted  uint32    // sequence number of the upstream's acceptance
-	balancer  IP
-	opening   uint32
+	phase      flowPhase
+	receiving  bool      // a request has begun whose last packet has not arrived
+	request    requestID // the request in progress; 0 means none
+	hadRequest bool      // a request was forwarded to the upstream
+	urgent     bool      // its route takes precedence over other routes of the service
+	paced      bool      // the agent keeps its request
+	ahead      int       // requests that were at the upstream when that one arrived
+	finished   bool      // the caller or the upstream has closed or reset it
+	born       int64     // Announcement.Born of the upstream run that has the flow; 0 means unknown
+	accepted   uint32    // sequence number of the upstream's acceptance
+	balancer   IP
+	opening    uint32
 	// lookupPending is set while a balancer waits for a report that the flow is here.
 	lookupPending bool
 	// registered is when the flow was last registered at its homes. 0 means never.
@@ -112,7 +115,13 @@
 		a.reportHeld(k.Flow, f)
 	}
 	complete := a.trackCallerPacket(k, f, p, now)
-	if complete {
+	switch {
+	case f.paced && k.Length > 0:
+		a.notePacedCopy(f, now)
+		return
+	case complete && a.pace(k.Flow, f, from, h.Flags, p, now):
+		return
+	case complete:
 		a.beginRequest(f, now)
 	}
 	a.sendUpstream(p, pending{balancer: from, flags: h.Flags})
@@ -218,7 +227,7 @@
 // receives uploads would be considered busy after some minutes.
 func (a *Agent) trackCallerPacket(k Packet, f *flowState, p []byte, now time.Duration) (complete bool) {
 	if k.Fin || k.Reset {
-		f.finished = true
+		f.finished, f.paced = true, false
 		a.cancelRequest(f, now)
 	}
 	end := k.Seq + uint32(k.Length)
@@ -230,7 +239,7 @@
 		return false
 	}
 	f.callerSent, f.sentUpTo = true, end
-	if f.request != 0 {
+	if f.request != 0 || f.paced {
 		return false
 	}
 	if !f.receiving {
@@ -243,6 +252,7 @@
 
 // beginRequest counts the flow's request as in progress.
 func (a *Agent) beginRequest(f *flowState, now time.Duration) {
+	f.hadRequest = true
 	f.request, f.ahead = a.requests.begin(a.upstream.slotCount(), now)
 }
 
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -159,6 +159,8 @@
 	f, _ := a.flows.get(k)
 	if f == nil || f.phase == flowUnconfirmed {
 		f = &flowState{phase: flowOffered, born: a.upstream.born, since: now}
+		f.urgent = h.Flags.has(FlagUrgent)
+		a.noteTarget(k.Address, h.Budget)
 		a.flows.set(k, f)
 		a.expectedRequests.add(1, now)
 		a.Count.Taken++
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -66,7 +66,7 @@
 	// Budget is set in openings: the time left to answer the flow's first request within its
 	// target latency.
 	Budget Budget
-	// Flags are set in lookups and in the answers to them.
+	// Flags are set in openings, in lookups and in the answers to these.
 	Flags Flags
 	// Opening is the number that the balancer gave to this attempt to open a flow.
 	Opening uint32
@@ -77,7 +77,7 @@
 	Load uint16
 }
 
-// Flags qualify a packet that is sent to look up its flow, and the answers to it.
+// Flags qualify an opening, or a packet that is sent to look up its flow and the answers to it.
 type Flags uint8
 
 const (
@@ -91,6 +91,8 @@
 	// upstream. It is set when the flow may be at an agent that must not forward packets
 	// of unknown flows.
 	FlagKnownOnly
+	// FlagUrgent marks an opening of an urgent route.
+	FlagUrgent
 )
 
 func (f Flags) has(x Flags) bool { return f&x != 0 }
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -316,9 +316,13 @@
 		version: b.ConfigurationVersion(), class: c, age: now - a.lastSeen,
 	}, now)
 	o.priority = p
+	var flags Flags
+	if o.urgent {
+		flags = FlagUrgent
+	}
 	b.send(o.packet[:HeaderLen+o.length], Message{
 		Kind: KindOpening, Priority: p, Opening: o.id, Service: o.service, Cold: b.coldRate(o.service),
-		Budget: o.budget(now),
+		Budget: o.budget(now), Flags: flags,
 	}, a.ip)
 	b.openings.startTimeout(o, now)
 }
