--- a/experiment/overload_test.go
+++ b/experiment/overload_test.go
@@ -105,6 +105,7 @@
 	for site, s := range loadedSites {
 		for name, x := range overloads {
 			t.Run(site+", "+name, func(t *testing.T) {
+				t.Parallel()
 				for seed := range uint64(3) {
 					test(t, s, x.load, x.length, seed)
 				}
@@ -113,12 +114,14 @@
 	}
 }
 
-// Guards against an overload in which what is urgent is served worse than what is not, and in
-// which upstreams work for callers who get late answers.
+// Guards against an overload in which what is urgent is served worse than what is not, in
+// which upstreams work for callers who get late answers, and which goes on after the load is
+// the usual one again.
 func TestOverload(t *testing.T) {
 	forEachOverload(t, func(t *testing.T, s loadedSite, load float64, length time.Duration, seed uint64) {
 		w, feeds, confirmations := s.start(t, seed)
 		f, c := w.play(load, length)
+		f2, c2 := w.play(1, 2*time.Second)
 		w.play(1, confirmations.timeout)
 		w.checkBreaches(t)
 		worth := (feeds.worth*float64(f.inAim) + confirmations.worth*float64(c.inAim)) /
@@ -130,14 +133,8 @@
 		if c.share() < f.share()-0.01 {
 			t.Errorf("seed %d: urgent requests are served worse than others: %.3f and %.3f", seed, c.share(), f.share())
 		}
-	})
-}
-
-// Guards against an overload that goes on after the load is the usual one again.
-func TestLoadRecoversAfterOverload(t *testing.T) {
-	forEachOverload(t, func(t *testing.T, s loadedSite, load float64, length time.Duration, seed uint64) {
 		if !s.isHeavy(load) {
-			s.checkRecovery(t, load, length, seed)
+			checkRecovery(t, seed, f2, c2)
 		}
 	})
 }
@@ -146,9 +143,14 @@
 // of new ones.
 func TestLoadRecoversAfterHeavyOverload(t *testing.T) {
 	forEachOverload(t, func(t *testing.T, s loadedSite, load float64, length time.Duration, seed uint64) {
-		if s.isHeavy(load) {
-			s.checkRecovery(t, load, length, seed)
+		if !s.isHeavy(load) {
+			return
 		}
+		w, _, confirmations := s.start(t, seed)
+		w.play(load, length)
+		f, c := w.play(1, 2*time.Second)
+		w.play(1, confirmations.timeout)
+		checkRecovery(t, seed, f, c)
 	})
 }
 
@@ -157,14 +159,11 @@
 	return load >= 4 || load >= 2 && s.feeds.timeout > 2*openingTimeout
 }
 
-// checkRecovery checks the two seconds after an overload.
-func (s loadedSite) checkRecovery(t *testing.T, load float64, length time.Duration, seed uint64) {
+// checkRecovery checks the outcomes of the two seconds after an overload.
+func checkRecovery(t *testing.T, seed uint64, feeds, confirmations *outcomes) {
 	t.Helper()
-	w, _, confirmations := s.start(t, seed)
-	w.play(load, length)
-	f, c := w.play(1, 2*time.Second)
-	w.play(1, confirmations.timeout)
-	if f.share() < 0.98 || c.share() < 0.98 {
-		t.Errorf("seed %d: %.3f of the feeds %+v and %.3f of the confirmations %+v in time", seed, f.share(), *f, c.share(), *c)
+	if feeds.share() < 0.98 || confirmations.share() < 0.98 {
+		t.Errorf("seed %d: after the overload %.3f of the feeds %+v and %.3f of the confirmations %+v in time",
+			seed, feeds.share(), *feeds, confirmations.share(), *confirmations)
 	}
 }
