Log openings that are held, uploads that wait and requests that are kept, and measure how long

Cause: each decision about a flow has a numbered line, and the new ones had none; where a request's time goes could not be read. Found by reading: an agent that has just started assumes four slots, and would learn a limit of its upstream from a wrong number of them. Change: events 1111, 1112, 2204 to 2206; histograms linkWait, hold, kept; nothing is learned before the first announcement; one word, kept, for requests that an agent keeps.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -66,7 +66,7 @@
 	requests         requests
 	expectedRequests expectedRequests
 	held             []heldOpening       // the oldest first
-	paced            []pacedRequest      // the oldest first
+	kept             []keptRequest       // the oldest first
 	targets          map[Endpoint]Budget // target latencies of routes, as far as they are known
 	lastRecount      time.Duration
 	probing          bool
@@ -88,9 +88,9 @@
 	NotMine, Mine, Packets, Answers, Dropped      uint64
 	BadMessages, BadPackets, BadAnnouncements     uint64
 	// Rejected is the number of requests that the upstream rejected because its queue was
-	// full, Held the number of openings that waited for a place at the upstream, Paced
+	// full, Held the number of openings that waited for a place at the upstream, Kept
 	// that of requests on open flows that did.
-	Rejected, Held, Paced uint64
+	Rejected, Held, Kept uint64
 }
 
 type balancerView struct {
@@ -277,7 +277,7 @@
 	a.probe(now)
 	a.reportNotBounced(now)
 	a.releaseHeld(now)
-	a.releasePaced(now)
+	a.releaseKept(now)
 	if now-a.lastRecount >= recountInterval {
 		a.lastRecount = now
 		a.recount(now)
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -16,7 +16,7 @@
 	request    requestID // the request in progress; 0 means none
 	hadRequest bool      // a request was forwarded to the upstream
 	urgent     bool      // its route takes precedence over other routes of the service
-	paced      bool      // the agent keeps its request
+	kept       bool      // the agent keeps its request
 	ahead      int       // requests that were at the upstream when that one arrived
 	finished   bool      // the caller or the upstream has closed or reset it
 	born       int64     // Announcement.Born of the upstream run that has the flow; 0 means unknown
@@ -116,10 +116,10 @@
 	}
 	complete := a.trackCallerPacket(k, f, p, now)
 	switch {
-	case f.paced && k.Length > 0:
-		a.notePacedCopy(f, now)
+	case f.kept && k.Length > 0:
+		a.noteKeptCopy(f, now)
 		return
-	case complete && a.pace(k.Flow, f, from, h.Flags, p, now):
+	case complete && a.keep(k.Flow, f, from, h.Flags, p, now):
 		return
 	case complete:
 		a.beginRequest(f, now)
@@ -227,7 +227,7 @@
 // receives uploads would be considered busy after some minutes.
 func (a *Agent) trackCallerPacket(k Packet, f *flowState, p []byte, now time.Duration) (complete bool) {
 	if k.Fin || k.Reset {
-		f.finished, f.paced = true, false
+		f.finished, f.kept = true, false
 		a.cancelRequest(f, now)
 	}
 	end := k.Seq + uint32(k.Length)
@@ -239,7 +239,7 @@
 		return false
 	}
 	f.callerSent, f.sentUpTo = true, end
-	if f.request != 0 || f.paced {
+	if f.request != 0 || f.kept {
 		return false
 	}
 	if !f.receiving {
@@ -270,11 +270,15 @@
 	if f.request == 0 {
 		return
 	}
-	if a.requests.end(f.request, f.ahead, a.upstream.slotCount(), now) {
-		a.Observe.record(ObserveRequest, now-f.requestStart)
-	} else {
+	switch {
+	case a.upstream.state == UpstreamUnknown:
+		a.requests.cancel(f.request, assumedSlots, now) // its slots are only assumed, so nothing is learned
+	case !a.requests.end(f.request, f.ahead, a.upstream.slotCount(), now):
 		a.Count.Rejected++
+		f.request = 0
+		return
 	}
+	a.Observe.record(ObserveRequest, now-f.requestStart)
 	f.request = 0
 }
 
--- a/datagram/hold.go
+++ b/datagram/hold.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"pomeloway.example/pomeloway/events"
 )
 
 // While an upstream is full, its agent holds back urgent openings for a moment and forwards
@@ -37,6 +39,10 @@
 	o.length = copy(o.packet[:], p)
 	a.held = append(a.held, o)
 	a.Count.Held++
+	a.Log.logDecision(decision{
+		event: events.OpeningHeld, flow: f, agent: from, version: a.version,
+		hop: uint8(min(a.requestCount(now), 255)),
+	}, now)
 	return true
 }
 
@@ -56,6 +62,7 @@
 			a.decline(o.from, h, o.flow, r, now)
 			continue
 		}
+		a.Observe.record(ObserveHold, now-o.since)
 		a.offer(o.from, h, o.flow, o.packet[:o.length], now)
 	}
 }
--- a/datagram/paced.go
+++ b/datagram/kept.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pomeloway.example/pomeloway/events"
 )
 
 // Requests on open flows pass no admission control, so under overload they can fill an
@@ -12,14 +14,14 @@
 // free. An upstream that is full gets all requests, because it rejects them at once.
 
 const (
-	// maxPaced bounds the requests that an agent keeps.
-	maxPaced = 512
+	// maxKept bounds the requests that an agent keeps.
+	maxKept = 512
 	// abandonedAfter is longer than callers wait between two copies of a packet.
 	abandonedAfter = 2 * time.Second
 )
 
-// pacedRequest is a request that its agent keeps.
-type pacedRequest struct {
+// keptRequest is a request that its agent keeps.
+type keptRequest struct {
 	flow     Flow
 	state    *flowState
 	balancer IP
@@ -37,17 +39,21 @@
 	}
 }
 
-// pace keeps a request that would be late behind those that the upstream has. It returns
+// keep keeps a request that would be late behind those that the upstream has. It returns
 // false if the request has to be forwarded.
-func (a *Agent) pace(k Flow, f *flowState, from IP, flags Flags, p []byte, now time.Duration) bool {
+func (a *Agent) keep(k Flow, f *flowState, from IP, flags Flags, p []byte, now time.Duration) bool {
 	target := a.targets[k.Address].duration()
-	if f.urgent || !f.hadRequest || target == 0 || len(a.paced) >= maxPaced || a.fits(target, now) ||
+	if f.urgent || !f.hadRequest || target == 0 || len(a.kept) >= maxKept || a.fits(target, now) ||
 		a.requests.isFull(a.requestCount(now)) {
 		return false
 	}
-	f.paced = true
-	a.paced = append(a.paced, pacedRequest{k, f, from, flags, now, now, slices.Clone(p)})
-	a.Count.Paced++
+	f.kept = true
+	a.kept = append(a.kept, keptRequest{k, f, from, flags, now, now, slices.Clone(p)})
+	a.Count.Kept++
+	a.Log.logDecision(decision{
+		event: events.RequestKept, flow: k, agent: from, request: a.Format.RequestID(p), version: a.version,
+		hop: uint8(min(a.requestCount(now), 255)),
+	}, now)
 	return true
 }
 
@@ -58,37 +64,47 @@
 	return n < slots || s == 0 || responseTime(s, n, slots) <= d
 }
 
-// releasePaced forwards the requests that fit.
-func (a *Agent) releasePaced(now time.Duration) {
-	for len(a.paced) > 0 {
-		x := a.paced[len(a.paced)-1]
+// releaseKept forwards the requests that fit.
+func (a *Agent) releaseKept(now time.Duration) {
+	for len(a.kept) > 0 {
+		x := a.kept[len(a.kept)-1]
 		switch {
 		case !a.isWaiting(&x, now):
-			x.state.paced = false
+			x.state.kept = false
+			a.logReleased(events.KeptRequestDropped, &x, now)
 		case a.fits(a.targets[x.flow.Address].duration()-(now-x.since), now):
-			x.state.paced = false
+			x.state.kept = false
+			a.Observe.record(ObserveKept, now-x.since)
+			a.logReleased(events.KeptRequestForwarded, &x, now)
 			a.beginRequest(x.state, now)
 			a.sendUpstream(x.packet, pending{balancer: x.balancer, flags: x.flags})
 		default:
 			return
 		}
-		a.paced = a.paced[:len(a.paced)-1]
+		a.kept = a.kept[:len(a.kept)-1]
 	}
 }
 
+func (a *Agent) logReleased(e events.ID, x *keptRequest, now time.Duration) {
+	a.Log.logDecision(decision{
+		event: e, flow: x.flow, agent: x.balancer, version: a.version,
+		hop: uint8(min(a.requestCount(now), 255)), age: now - x.since,
+	}, now)
+}
+
 // isWaiting reports whether the caller still waits for the request's answer, and the upstream
 // may get the request.
-func (a *Agent) isWaiting(x *pacedRequest, now time.Duration) bool {
+func (a *Agent) isWaiting(x *keptRequest, now time.Duration) bool {
 	f, known := a.flows.get(x.flow)
-	return known && f == x.state && f.paced && f.phase == flowOpen && a.isCurrentRun(f.born) &&
+	return known && f == x.state && f.kept && f.phase == flowOpen && a.isCurrentRun(f.born) &&
 		now-x.lastCopy < abandonedAfter && !a.isEvacuated(x.flow, now)
 }
 
-// notePacedCopy notes that the caller sends a paced request again.
-func (a *Agent) notePacedCopy(f *flowState, now time.Duration) {
-	for i := range a.paced {
-		if a.paced[i].state == f {
-			a.paced[i].lastCopy = now
+// noteKeptCopy notes that the caller sends a kept request again.
+func (a *Agent) noteKeptCopy(f *flowState, now time.Duration) {
+	for i := range a.kept {
+		if a.kept[i].state == f {
+			a.kept[i].lastCopy = now
 		}
 	}
 }
--- a/datagram/observe.go
+++ b/datagram/observe.go
@@ -16,11 +16,17 @@
 	// ObserveRequest: from the first packet of a request until the first packet of its
 	// answer.
 	ObserveRequest
+	// ObserveLinkWait: how long the opening of an upload waited for the balancer's link.
+	ObserveLinkWait
+	// ObserveHold: how long an urgent opening was held back at a full upstream.
+	ObserveHold
+	// ObserveKept: how long a request on an open flow was kept back.
+	ObserveKept
 	// ObservationCount is the number of observations.
 	ObservationCount
 )
 
-var observationNames = [ObservationCount]string{"opening", "handshake", "request"}
+var observationNames = [ObservationCount]string{"opening", "handshake", "request", "linkWait", "hold", "kept"}
 
 // String returns the name of the observation's metric.
 func (o Observation) String() string { return observationNames[o] }
--- a/datagram/requests_test.go
+++ b/datagram/requests_test.go
@@ -103,3 +103,20 @@
 		t.Errorf("%d requests in progress after the answer", n)
 	}
 }
+
+// Guards against a limit that an agent learns while it only assumes the number of slots.
+func TestNothingIsLearnedBeforeTheFirstAnnouncement(t *testing.T) {
+	const now = time.Second
+	a := &Agent{Format: plainFormat{}}
+	a.Start()
+	var fs []*flowState
+	for range assumedSlots + 2 {
+		f := &flowState{phase: flowOpen}
+		a.beginRequest(f, now)
+		fs = append(fs, f)
+	}
+	a.endRequest(fs[assumedSlots+1], now)
+	if n := a.requests.count(); a.requests.capacity != 0 || a.Count.Rejected != 0 || n != assumedSlots+1 {
+		t.Errorf("capacity %d, %d rejected, %d in progress", a.requests.capacity, a.Count.Rejected, n)
+	}
+}
--- a/datagram/transfers.go
+++ b/datagram/transfers.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pomeloway.example/pomeloway/events"
 )
 
 // Admission of uploads by the balancer's own link. Callers send without congestion control:
@@ -111,6 +113,10 @@
 	}
 	o.waitsForLink = true
 	b.transfers.waiting = append(b.transfers.waiting, o.id)
+	b.Log.logDecision(decision{
+		event: events.UploadWaits, flow: o.flow, version: b.ConfigurationVersion(),
+		hop: uint8(min(len(b.transfers.active), 255)),
+	}, now)
 	b.openings.setDeadline(o, now+patience)
 }
 
@@ -130,6 +136,7 @@
 		x.waiting = x.waiting[1:]
 		x.active[o.flow] = now + handshakeTimeout
 		o.waitsForLink, o.deadline = false, 0
+		b.Observe.record(ObserveLinkWait, now-o.started)
 		b.tryNextAgent(o, now)
 	}
 }
--- a/events/events.go
+++ b/events/events.go
@@ -31,6 +31,8 @@
 	FlowNotFound         ID = 1108
 	FlowCut              ID = 1109
 	FlowFound            ID = 1110
+	OpeningHeld          ID = 1111
+	UploadWaits          ID = 1112
 	RequestUnderWay      ID = 2201
 	UpstreamChanged      ID = 2202
 	AgentChanged         ID = 3101
@@ -40,6 +42,9 @@
 	EntriesMissing       ID = 3105
 	NearBalancersChanged ID = 3106
 	StoreWatchChanged    ID = 3107
+	RequestKept          ID = 2204
+	KeptRequestForwarded ID = 2205
+	KeptRequestDropped   ID = 2206
 	RequestPlaced        ID = 2001
 	RequestPassed        ID = 2002
 	RequestRefused       ID = 2003
@@ -101,6 +106,8 @@
 	{FlowNotFound, "flow not found", slog.LevelWarn},
 	{FlowCut, "flow reset because it no longer exists", slog.LevelWarn},
 	{FlowFound, "flow found", slog.LevelInfo},
+	{OpeningHeld, "opening held back at a full upstream", slog.LevelInfo},
+	{UploadWaits, "upload waits for the link", slog.LevelInfo},
 	{RequestUnderWay, "request under way", slog.LevelInfo},
 	{UpstreamChanged, "upstream changed", slog.LevelInfo},
 	{AgentChanged, "agent changed", slog.LevelInfo},
@@ -110,6 +117,9 @@
 	{EntriesMissing, "flows requested again from an agent", slog.LevelInfo},
 	{NearBalancersChanged, "near balancers changed", slog.LevelInfo},
 	{StoreWatchChanged, "store watch started or stopped", slog.LevelInfo},
+	{RequestKept, "request kept back", slog.LevelInfo},
+	{KeptRequestForwarded, "kept request forwarded", slog.LevelInfo},
+	{KeptRequestDropped, "kept request dropped", slog.LevelInfo},
 	{AnnouncementRefused, "upstream's announcement refused", slog.LevelWarn},
 	{RequestPlaced, "request placed", slog.LevelInfo},
 	{RequestPassed, "request passed on", slog.LevelInfo},
