Avoid an upstream that resets flows during requests

A confirmation that is broken off is not repeated, as nobody knows whether it ran. Only the agent sees these resets. Change: the agent keeps the share of recent requests that its upstream broke off; from 0.15 on it declines the first attempt of openings, so that others get them unless they are busy. The share decays, so that an upstream without requests is tried again; a counter, broken.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -64,6 +64,7 @@
 	flows            table[*flowState]
 	openFlows        int
 	requests         requests
+	failures         failures
 	expectedRequests expectedRequests
 	held             []heldOpening       // the oldest first
 	kept             []keptRequest       // the oldest first
@@ -91,6 +92,8 @@
 	// full, Held the number of openings that waited for a place at the upstream, Kept
 	// that of requests on open flows that did.
 	Rejected, Held, Kept uint64
+	// Broken is the number of flows that the upstream reset during a request.
+	Broken uint64
 }
 
 type balancerView struct {
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -278,6 +278,7 @@
 		f.request = 0
 		return
 	}
+	a.failures.note(false, now)
 	a.Observe.record(ObserveRequest, now-f.requestStart)
 	f.request = 0
 }
@@ -396,6 +397,10 @@
 	f.ackNumber = k.Seq + uint32(k.Length)
 	switch {
 	case k.Reset:
+		if f.request != 0 && !f.finished {
+			a.Count.Broken++
+			a.failures.note(true, now)
+		}
 		f.finished = true
 		a.cancelRequest(f, now)
 		return
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -95,6 +95,9 @@
 // next status.
 func (a *Agent) isBusy(h Message, now time.Duration) bool {
 	n, slots := a.requestCount(now), a.upstream.slotCount()
+	if h.Priority == PriorityFirst && a.failures.isFailing(now) {
+		return true
+	}
 	limit := h.Priority.limit()
 	if h.Priority == PriorityFirst && a.BusyAt != 0 {
 		limit = a.BusyAt
