Say when the fixed limit of urgent openings applies

Cause: read once more, the comment told of the limit as it was before openings carried the time they have left. Change: two comments, no code.

--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -392,7 +392,8 @@
 	}
 	switch h.Reason {
 	case ReasonUpstreamUnknown, ReasonNoAnswer:
-		o.inconclusive, o.unanswered = true, o.unanswered || h.Reason == ReasonNoAnswer // its upstream may still answer, or announce itself soon
+		// Its upstream may still answer, or announce itself soon.
+		o.inconclusive, o.unanswered = true, o.unanswered || h.Reason == ReasonNoAnswer
 	case ReasonBusy:
 		o.inconclusive, o.busy = true, true // a slot will be free before the caller gives up
 		if a := b.agents.byIP[from]; a != nil {
--- a/datagram/priority.go
+++ b/datagram/priority.go
@@ -27,7 +27,8 @@
 	// agent: its request would wait about as long as one request takes.
 	busyAt = 2
 	// fullAt is the load at which an opening is declined even if all agents are busy.
-	// fullAtUrgent is the same for urgent routes, so that these wait only for each other.
+	// fullAtUrgent is the same for urgent routes, where the time that an opening has left or
+	// the upstream's service time is not known; see Agent.isBusy.
 	fullAt       = 2
 	fullAtUrgent = 3
 	// lateAt and lateAtUrgent are the same for openings that will be late anyway. They only
