Carry a load report in agents' statuses and answers

Cause: agents estimate their upstreams' service times and tell nobody, so balancers can place by counts only. Change: a report of six bytes in header bytes of statuses that had no use, and behind the flow in answers to openings. Earlier builds ignore both, and messages without it count as not reported. Nothing decides by it yet.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -380,7 +380,7 @@
 	if withHomes && len(a.homes.ips) <= maxHomesListed {
 		m = appendIPs(append(m, byte(len(a.homes.ips))), a.homes.ips)
 	}
-	h := Message{Kind: KindAgent, Service: a.Service}
+	h := Message{Kind: KindAgent, Service: a.Service, Report: a.loadReport(now)}
 	h.Put(m, a.Keys[0])
 	return m
 }
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -40,7 +40,9 @@
 	// the same digest.
 	homes           homeSet
 	reportedLoad    int // flows and requests at its upstream, as last reported
-	pendingOpenings int // openings sent to it and not answered yet
+	report          LoadReport
+	reportedAt      time.Duration // when report arrived
+	pendingOpenings int           // openings sent to it and not answered yet
 	// declinedAt is when the agent last refused an opening as busy, by the opening's
 	// priority.
 	declinedAt    [priorityEnd]time.Duration
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -271,7 +271,7 @@
 	}
 	switch h.Kind {
 	case KindAgent:
-		b.handleAgentStatus(from, p, now)
+		b.handleAgentStatus(from, h, p, now)
 	case KindBalancer:
 		b.handleBalancerStatus(from, p, now)
 	case KindSilent:
@@ -279,7 +279,7 @@
 	case KindOpened:
 		b.handleOpened(from, h, p, now)
 	case KindRefused:
-		b.handleRefused(from, h, now)
+		b.handleRefused(from, h, p, now)
 	case KindHeld:
 		if f, ok := decodeFlow(p); ok {
 			b.handleHeld(from, f, now)
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -416,9 +416,9 @@
 			}, now)
 		}
 		if f.opening != 0 {
-			a.sendFlowMessage(f.balancer, Message{
+			a.sendAnswer(f.balancer, Message{
 				Kind: KindOpened, Opening: f.opening, Service: a.Service, Load: a.load(now),
-			}, k.Flow)
+			}, k.Flow, now)
 		}
 		return
 	case f.phase == flowUnconfirmed:
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -198,10 +198,21 @@
 	a.Log.logDecision(decision{
 		event: events.OpeningDeclined, flow: f, agent: to, reason: r, version: a.version,
 	}, now)
-	a.sendFlowMessage(to, Message{
+	a.sendAnswer(to, Message{
 		Kind: KindRefused, Reason: r, Requests: uint8(min(a.requestCount(now), math.MaxUint8)),
 		Opening: h.Opening, Service: a.Service, Load: a.load(now),
-	}, f)
+	}, f, now)
+}
+
+// sendAnswer sends the answer to an opening, with a load report after the flow. Earlier builds
+// read the flow only.
+func (a *Agent) sendAnswer(to IP, h Message, f Flow, now time.Duration) {
+	m := a.scratch[:HeaderLen+flowLen+loadReportLen]
+	f.put(m[HeaderLen:])
+	r := a.loadReport(now).encode()
+	copy(m[HeaderLen+flowLen:], r[:])
+	h.Put(m, a.Keys[0])
+	a.Out.ToProcess(to, m)
 }
 
 // sendFlowMessage sends a message about a flow to a balancer.
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -75,6 +75,9 @@
 	Cold ColdRate
 	// Load is set in messages from agents: the number of flows and requests at the agent.
 	Load uint16
+	// Report is set in statuses of agents. In answers to openings it follows the flow in the
+	// payload instead.
+	Report LoadReport
 }
 
 // Flags qualify an opening, or a packet that is sent to look up its flow and the answers to it.
@@ -159,13 +162,16 @@
 	_ = b[HeaderLen-1]
 	b[0], b[1], b[2], b[3], b[4] = messageMagic, byte(m.Kind), byte(k.ID()), byte(m.Reason), m.Requests
 	b[5] = byte(m.Flags)
-	if m.Kind == KindOpening {
+	binary.BigEndian.PutUint32(b[8:], m.Opening)
+	switch m.Kind {
+	case KindOpening:
 		b[3], b[4] = byte(m.Budget), byte(m.Priority)
 		binary.BigEndian.PutUint16(b[6:], uint16(m.Cold))
-	} else {
+	case KindAgent:
+		m.Report.putHeader(b)
+	default:
 		binary.BigEndian.PutUint16(b[6:], m.Load)
 	}
-	binary.BigEndian.PutUint32(b[8:], m.Opening)
 	binary.BigEndian.PutUint64(b[12:], uint64(m.Service))
 	binary.BigEndian.PutUint64(b[tagOffset:],
 		k.Tag(b[:tagOffset], b[HeaderLen:HeaderLen+m.Kind.authenticatedLen(len(b)-HeaderLen)]))
@@ -184,14 +190,17 @@
 		return nil, false
 	}
 	m.Reason, m.Flags = Reason(b[3]), Flags(b[5])
-	m.Priority, m.Requests, m.Budget, m.Cold, m.Load = 0, 0, 0, 0, 0
-	if m.Kind == KindOpening {
+	m.Priority, m.Requests, m.Budget, m.Cold, m.Load, m.Report = 0, 0, 0, 0, 0, LoadReport{}
+	m.Opening = binary.BigEndian.Uint32(b[8:])
+	switch m.Kind {
+	case KindOpening:
 		m.Reason, m.Budget = ReasonNone, Budget(b[3])
 		m.Priority, m.Cold = Priority(b[4]), ColdRate(binary.BigEndian.Uint16(b[6:]))
-	} else {
+	case KindAgent:
+		m.Reason, m.Opening, m.Report = ReasonNone, 0, loadReportInHeader(b)
+	default:
 		m.Requests, m.Load = b[4], binary.BigEndian.Uint16(b[6:])
 	}
-	m.Opening = binary.BigEndian.Uint32(b[8:])
 	m.Service = ServiceKey(binary.BigEndian.Uint64(b[12:]))
 	return b[HeaderLen:], true
 }
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -375,10 +375,11 @@
 	if a := b.agents.byIP[from]; a != nil {
 		a.missedOpenings = 0
 		a.updateLoad(h.Load)
+		a.updateReport(decodeLoadReport(p[flowLen:]), now)
 	}
 }
 
-func (b *Balancer) handleRefused(from IP, h Message, now time.Duration) {
+func (b *Balancer) handleRefused(from IP, h Message, p []byte, now time.Duration) {
 	o := b.openings.get(h.Opening)
 	if o == nil || o.agent != from || o.deadline == 0 || o.waiting {
 		return
@@ -389,6 +390,7 @@
 	}
 	if a := b.agents.byIP[from]; a != nil {
 		a.updateLoad(h.Load)
+		a.updateReport(decodeLoadReport(p[min(flowLen, len(p)):]), now)
 	}
 	switch h.Reason {
 	case ReasonUpstreamUnknown, ReasonNoAnswer:
--- a/datagram/openings_test.go
+++ b/datagram/openings_test.go
@@ -35,7 +35,7 @@
 	b, s := testBalancer(t, 3, now-100*time.Millisecond)
 	b.HandleCaller(plainPacket(plainOpening, 1), now)
 	busy := func() {
-		b.handleRefused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, now)
+		b.handleRefused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, nil, now)
 	}
 	for range 3 {
 		busy()
@@ -66,7 +66,7 @@
 	b.config.Routes[Endpoint{2, 443}] = Route{Shares: []Share{{7, 1}}, Urgent: true}
 	b.HandleCaller(plainPacket(plainOpening, 1), now)
 	decline := func(requests uint8) {
-		b.handleRefused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: requests}, now)
+		b.handleRefused(s.to[len(s.to)-1], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: requests}, nil, now)
 	}
 	for _, n := range []uint8{13, 11, 12} {
 		decline(n)
@@ -99,7 +99,7 @@
 	asked := 0
 	for end := now + time.Second; now < end; now += time.Millisecond {
 		for ; asked < len(s.to); asked++ {
-			b.handleRefused(s.to[asked], Message{Opening: s.process[asked].Opening, Reason: ReasonBusy, Load: 20, Requests: 10}, now)
+			b.handleRefused(s.to[asked], Message{Opening: s.process[asked].Opening, Reason: ReasonBusy, Load: 20, Requests: 10}, nil, now)
 		}
 		for ip := range b.agents.byIP {
 			b.agents.byIP[ip].lastSeen = now
@@ -125,7 +125,7 @@
 		if s.to[i] == 4 {
 			t.Fatalf("opening sent to %v; agent 4 is doubted", s.to)
 		}
-		b.handleRefused(s.to[i], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, now)
+		b.handleRefused(s.to[i], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, nil, now)
 	}
 	if len(s.to) != 3 {
 		t.Errorf("opening sent to %v, want the three reachable agents", s.to)
@@ -244,7 +244,7 @@
 					if x.unanswered && answered == 0 {
 						continue
 					}
-					b.handleRefused(s.to[answered], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, now)
+					b.handleRefused(s.to[answered], Message{Opening: 1, Reason: ReasonBusy, Load: 20, Requests: 10}, nil, now)
 				}
 				for _, a := range b.agents.byIP {
 					a.lastSeen = now
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -52,7 +52,7 @@
 	return ips
 }
 
-func (b *Balancer) handleAgentStatus(from IP, p []byte, now time.Duration) {
+func (b *Balancer) handleAgentStatus(from IP, h Message, p []byte, now time.Duration) {
 	var s AgentStatus
 	ips, ok := s.decodeWithHomes(p)
 	if !ok {
@@ -71,6 +71,7 @@
 		b.sendStatusTo(from, now) // it has not received a status of this balancer
 	}
 	if a := b.agents.byIP[from]; a != nil && a.status.Life == s.Life && a.status.Sequence == s.Sequence {
+		a.updateReport(h.Report, now)
 		if len(ips) > 0 {
 			a.homes = newHomeSet(ips)
 		}
