Keep openings that arrive before the first configuration

Balancers run from 36.0 s on and get the configuration at 37.5 to 37.6 s, when the store answers again; what arrived before was dropped, so callers who could still be in time waited up to 400 ms for their next copy. Change: a balancer without a configuration keeps the latest 1,024 openings and handles those that can be in time, the newest first, once it has one. The simulated router sends to all balancers that run if none is ready, as the platform does.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -60,6 +60,7 @@
 	peerCursor          int // position in the sorted peers from which the next status lists them
 	flows               table[flowLocation]
 	openings            openings
+	early               earlyOpenings
 	transfers           transfers
 	homes               homeSet
 	directory           directory
@@ -301,6 +302,7 @@
 func (b *Balancer) Tick(now time.Duration) time.Duration {
 	b.detectPause(now)
 	b.checkCutOff(now)
+	b.handleEarlyOpenings(now)
 	b.retryExpired(now)
 	b.admitUploads(now)
 	b.runLookups(now)
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -165,6 +165,15 @@
 // handleOpening handles a caller's opening in m[HeaderLen:].
 func (b *Balancer) handleOpening(m []byte, p Packet, now time.Duration) {
 	b.Count.Openings++
+	if b.config == nil {
+		b.early.add(m, now)
+		return
+	}
+	b.beginOpening(m, p, now, now)
+}
+
+// beginOpening begins to open the flow of an opening that arrived at the given time, or goes on.
+func (b *Balancer) beginOpening(m []byte, p Packet, arrived, now time.Duration) {
 	if at, ok := b.flows.get(p.Flow); ok {
 		if o := b.openings.get(at.opening); o != nil {
 			o.noteCopy(p.AckNumber)
@@ -177,9 +186,6 @@
 			return
 		}
 	}
-	if b.config == nil {
-		return // the caller retransmits; there may be a configuration by then
-	}
 	r, ok := b.config.Routes[p.Flow.Address]
 	s, served := r.pickService(p.Flow.hash())
 	if !ok || !served {
@@ -192,7 +198,7 @@
 		return
 	}
 	o := b.openings.add()
-	o.flow, o.service, o.started = p.Flow, s, now-retransmissionAge(p.AckNumber)
+	o.flow, o.service, o.started = p.Flow, s, arrived-retransmissionAge(p.AckNumber)
 	o.urgent, o.targetLatency = r.Urgent, r.TargetLatency
 	o.noteCopy(p.AckNumber)
 	if n := len(m) - HeaderLen; n <= maxOpeningLen {
--- a/experiment/router.go
+++ b/experiment/router.go
@@ -6,13 +6,20 @@
 )
 
 // balancerFor returns the balancer that the router sends the flow to, by rendezvous
-// hashing over the balancers that are ready; nil if there is none.
+// hashing over the balancers that are ready, or over all that run if none is ready; nil if none
+// runs.
 func (w *simulation) balancerFor(f datagram.Flow) *balancerVM {
 	var best *balancerVM
 	var bestScore uint64
+	ready := false
 	for _, v := range w.balancers {
-		if s := fleet.Mix(uint64(f.Caller.IP)<<16|uint64(f.Caller.Port), uint64(v.ip)^w.routeSalt); v.up && v.b.Ready() && (best == nil || s > bestScore) {
+		if !v.up || ready && !v.b.Ready() {
+			continue
+		}
+		s := fleet.Mix(uint64(f.Caller.IP)<<16|uint64(f.Caller.Port), uint64(v.ip)^w.routeSalt)
+		if best == nil || !ready && v.b.Ready() || s > bestScore {
 			best, bestScore = v, s
+			ready = v.b.Ready()
 		}
 	}
 	return best
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -33,6 +33,15 @@
 // share returns the share of the requests that were answered within the target latency.
 func (o *outcomes) share() float64 { return float64(o.inAim) / float64(max(1, o.started)) }
 
+// add adds the counts of x.
+func (o *outcomes) add(x *outcomes) {
+	o.started += x.started
+	o.inAim += x.inAim
+	o.late += x.late
+	o.refused += x.refused
+	o.silent += x.silent
+}
+
 // addWorkload adds a route for the workload to the default service and starts its requests.
 func (w *simulation) addWorkload(l *workload) {
 	l.w, l.outcomes = w, &outcomes{}
