--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -60,6 +60,7 @@
 	peerCursor          int // position in the sorted peers from which the next status lists them
 	flows               table[flowLocation]
 	openings            openings
+	early               earlyOpenings
 	transfers           transfers
 	homes               homeSet
 	directory           directory
@@ -271,7 +272,7 @@
 	}
 	switch h.Kind {
 	case KindAgent:
-		b.handleAgentStatus(from, p, now)
+		b.handleAgentStatus(from, h, p, now)
 	case KindBalancer:
 		b.handleBalancerStatus(from, p, now)
 	case KindSilent:
@@ -279,7 +280,7 @@
 	case KindOpened:
 		b.handleOpened(from, h, p, now)
 	case KindRefused:
-		b.handleRefused(from, h, now)
+		b.handleRefused(from, h, p, now)
 	case KindHeld:
 		if f, ok := decodeFlow(p); ok {
 			b.handleHeld(from, f, now)
@@ -301,6 +302,7 @@
 func (b *Balancer) Tick(now time.Duration) time.Duration {
 	b.detectPause(now)
 	b.checkCutOff(now)
+	b.handleEarlyOpenings(now)
 	b.retryExpired(now)
 	b.admitUploads(now)
 	b.runLookups(now)
