Refuse openings by their service's admission level at overload

At overload each opening waited until its caller gave up. Callers then came back through other balancers, which can't tell them from new callers, and took their places for seconds after the overload. A service with routes of several priorities now has an admission level, which its agents report. Below level 255, requests on open flows wait at the agent from two requests per slot on, as openings do, so that the upstream's queue is short when the overload ends. At level 255 nothing changes.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"pomeloway.example/pomeloway/admission"
 	"pomeloway.example/pomeloway/link"
 )
 
@@ -36,6 +37,8 @@
 	// BusyAt is the number of requests per slot from which the upstream counts as busy, so
 	// that openings prefer other agents; 0 means busyAt, a negative value never.
 	BusyAt float64
+	// Admission selects what happens to openings at overload.
+	Admission Admission
 	// Evacuation is the time after which nothing more may be sent to an evacuated
 	// availability zone, that is, one that operators took out of service; 0 means
 	// defaultEvacuation.
@@ -66,6 +69,10 @@
 	requests         requests
 	failures         failures
 	expectedRequests expectedRequests
+	controller       admission.Controller
+	levelUpdatedAt   time.Duration
+	urgentAt         time.Duration       // when the last urgent opening arrived; 0: never
+	ordinaryAt       time.Duration       // when the last opening or request that is not urgent arrived
 	held             []heldOpening       // the oldest first
 	kept             []keptRequest       // the oldest first
 	targets          map[Endpoint]Budget // target latencies of routes, as far as they are known
@@ -278,6 +285,7 @@
 func (a *Agent) Tick(now time.Duration) time.Duration {
 	a.flows.rotate(now)
 	a.probe(now)
+	a.updateLevel(now)
 	a.reportNotBounced(now)
 	a.releaseHeld(now)
 	a.releaseKept(now)
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -29,6 +29,11 @@
 	Count  BalancerCounts
 	// Placement is the algorithm that chooses among equally suitable agents.
 	Placement Placement
+	// Admission selects what happens to openings at overload.
+	Admission Admission
+	// Clock returns the time since the Unix epoch, by which the order of admission rotates. If
+	// it is nil, the time since the start of the process is used.
+	Clock func() time.Duration
 	// Observe, if not nil, receives the measured durations.
 	Observe observer
 	// LookupRate limits the messages per second that lookups send; 0 means the default.
@@ -60,6 +65,7 @@
 	peerCursor          int // position in the sorted peers from which the next status lists them
 	flows               table[flowLocation]
 	openings            openings
+	admissions          map[ServiceKey]*serviceAdmission
 	transfers           transfers
 	homes               homeSet
 	directory           directory
@@ -76,6 +82,8 @@
 	// requests to register them again, Located the number of lookups answered for other
 	// balancers.
 	Entries, Resends, Located uint64
+	// NotAdmitted is the number of openings that their service's level did not admit.
+	NotAdmitted uint64
 }
 
 // flowLocation is the agent that holds a flow, or the attempt to open it.
@@ -100,6 +108,7 @@
 	b.agents.placement, b.agents.zone, b.agents.zonesOut = b.Placement, b.Zone, b.zonesOut
 	b.peers = map[IP]*peerView{}
 	b.flows = newTable[flowLocation](locationRotationInterval, maxLocations)
+	b.admissions = map[ServiceKey]*serviceAdmission{}
 	b.openings, b.transfers = newOpenings(), newTransfers(b.Bandwidth)
 	b.homes = newHomeSet([]IP{b.Self})
 	b.directory = newDirectory()
--- a/datagram/config.go
+++ b/datagram/config.go
@@ -43,6 +43,9 @@
 	// ColdRate is the number of new flows per second that an upstream in cold start can
 	// take; 0 means that cold start imposes no limit.
 	ColdRate float64
+	// Prioritized: it has routes of more than one priority, so that at overload openings of the
+	// less urgent ones are refused; see Admission.
+	Prioritized bool
 }
 
 // Configuration is the set of routes and services that operators have put into effect.
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -253,6 +253,9 @@
 // beginRequest counts the flow's request as in progress.
 func (a *Agent) beginRequest(f *flowState, now time.Duration) {
 	f.hadRequest = true
+	if !f.urgent {
+		a.noteArrival(false, now)
+	}
 	f.request, f.ahead = a.requests.begin(a.upstream.slotCount(), now)
 }
 
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -144,6 +144,7 @@
 		a.Count.BadPackets++
 		return
 	}
+	a.noteArrival(h.Flags.has(FlagUrgent), now)
 	f, _ := a.flows.get(k.Flow)
 	if f == nil || f.phase == flowUnconfirmed {
 		switch r := a.refusalReason(h, now); {
--- a/datagram/kept.go
+++ b/datagram/kept.go
@@ -61,6 +61,9 @@
 // slot.
 func (a *Agent) fits(d, now time.Duration) bool {
 	n, slots, s := a.requestCount(now), a.upstream.slotCount(), a.requests.serviceTime()
+	if a.isOverloaded(now) && float64(n) >= busyAt*float64(slots) {
+		return false
+	}
 	return n < slots || s == 0 || responseTime(s, n, slots) <= d
 }
 
--- a/datagram/loadreport.go
+++ b/datagram/loadreport.go
@@ -115,7 +115,7 @@
 func (a *Agent) loadReport(now time.Duration) LoadReport {
 	return LoadReport{
 		Present: true, ServiceTime: DurationCodeOf(a.requests.serviceTime()), Utilization: UtilizationUnknown,
-		Requests: uint8(min(a.requestCount(now), math.MaxUint8)), Level: LevelAll,
+		Requests: uint8(min(a.requestCount(now), math.MaxUint8)), Level: Level(a.level(now)),
 	}
 }
 
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -60,6 +60,8 @@
 	waitsForLink      bool     // too many uploads pass through the balancer
 	waiting           bool     // all agents were busy; it is tried again at the deadline
 	urgent            bool
+	unadmitted        bool // the service's level does not admit it
+	leftover          bool // it gets only free slots
 	targetLatency     time.Duration
 	packet            [HeaderLen + maxOpeningLen]byte
 	length            int
@@ -199,6 +201,7 @@
 		o.length = copy(o.packet[HeaderLen:], m[HeaderLen:])
 	}
 	b.flows.set(p.Flow, flowLocation{opening: o.id})
+	b.admit(o, now)
 	if !b.transfers.admit(o.flow, now) {
 		b.waitForLink(o, now)
 		return
@@ -219,6 +222,10 @@
 // in time is sent to an agent, which may hold it back until there is a place at its upstream.
 // Others wait at the balancer.
 func (b *Balancer) retryBusy(o *opening, now time.Duration) {
+	if b.refusesUnadmitted(o, now) {
+		b.refuseOpening(o, ReasonOverloaded, now)
+		return
+	}
 	if o.retryPriority(now) == PriorityUrgent {
 		b.retryWaiting(o, now)
 		return
@@ -234,6 +241,8 @@
 	switch {
 	case now-o.started > openingTimeout, a == nil && !busy:
 		b.giveUp(o, now)
+	case a == nil && b.refusesUnadmitted(o, now):
+		b.refuseOpening(o, ReasonOverloaded, now)
 	case a == nil:
 		b.waitForCapacity(o, now)
 	default:
@@ -260,7 +269,7 @@
 	var c class
 	var busy bool
 	p := PriorityFirst
-	if o.isLate(now) {
+	if o.yields(now) {
 		p = o.retryPriority(now)
 	}
 	if o.attempts < maxAttempts && !o.forced && !o.hasSampled() {
@@ -349,7 +358,11 @@
 // waitForCapacity schedules the next try for when some upstream may have a free slot.
 func (b *Balancer) waitForCapacity(o *opening, now time.Duration) {
 	o.waiting, o.busy = true, true
-	b.openings.setDeadline(o, now+capacityRetryDelay)
+	d := capacityRetryDelay
+	if o.unadmitted {
+		d = unadmittedWait
+	}
+	b.openings.setDeadline(o, now+d)
 }
 
 func (b *Balancer) removeOpening(o *opening) {
--- a/datagram/priority.go
+++ b/datagram/priority.go
@@ -57,9 +57,9 @@
 // retryPriority returns the priority of an opening that every agent declined.
 func (o *opening) retryPriority(now time.Duration) Priority {
 	switch {
-	case o.isLate(now) && o.urgent:
+	case o.yields(now) && o.urgent:
 		return PriorityLateUrgent
-	case o.isLate(now):
+	case o.yields(now):
 		return PriorityLate
 	case o.urgent:
 		return PriorityUrgent
--- a/events/events.go
+++ b/events/events.go
@@ -33,6 +33,7 @@
 	FlowFound            ID = 1110
 	OpeningHeld          ID = 1111
 	UploadWaits          ID = 1112
+	OpeningNotAdmitted   ID = 1113
 	RequestUnderWay      ID = 2201
 	UpstreamChanged      ID = 2202
 	AgentChanged         ID = 3101
@@ -67,6 +68,7 @@
 	ConfigurationInForce ID = 4101
 	ConfigurationRefused ID = 4102
 	ZonesChanged         ID = 4103
+	LevelChanged         ID = 4104
 	AnnouncementRefused  ID = 2203
 	PlatformDown         ID = 5002
 	PlatformUp           ID = 5003
@@ -108,6 +110,7 @@
 	{FlowFound, "flow found", slog.LevelInfo},
 	{OpeningHeld, "opening held back at a full upstream", slog.LevelInfo},
 	{UploadWaits, "upload waits for the link", slog.LevelInfo},
+	{OpeningNotAdmitted, "opening not admitted", slog.LevelInfo},
 	{RequestUnderWay, "request under way", slog.LevelInfo},
 	{UpstreamChanged, "upstream changed", slog.LevelInfo},
 	{AgentChanged, "agent changed", slog.LevelInfo},
@@ -142,6 +145,7 @@
 	{ConfigurationInForce, "configuration in force", slog.LevelInfo},
 	{ConfigurationRefused, "configuration refused", slog.LevelError},
 	{ZonesChanged, "availability zones taken out or back in", slog.LevelWarn},
+	{LevelChanged, "service's admission level changed", slog.LevelInfo},
 	{PlatformDown, "platform not responding", slog.LevelWarn},
 	{PlatformUp, "platform responding again", slog.LevelInfo},
 	{PeerDown, "peer not responding", slog.LevelWarn},
--- a/experiment/overload_test.go
+++ b/experiment/overload_test.go
@@ -32,11 +32,18 @@
 
 // start returns the site with its callers at work.
 func (s loadedSite) start(t *testing.T, seed uint64) (w *simulation, feeds, confirmations *workload) {
+	t.Helper()
+	return s.startWith(t, seed, datagram.AdmitByLevel)
+}
+
+// startWith is start with a way of admission.
+func (s loadedSite) startWith(t *testing.T, seed uint64, way datagram.Admission) (w *simulation, feeds, confirmations *workload) {
 	t.Helper()
 	w, err := newSimulation(seed)
 	if err != nil {
 		t.Fatal(err)
 	}
+	w.admission = way
 	for i := range 6 {
 		w.addBalancer(i, size{})
 	}
@@ -106,7 +113,7 @@
 		for name, x := range overloads {
 			t.Run(site+", "+name, func(t *testing.T) {
 				t.Parallel()
-				for seed := range uint64(3) {
+				for seed := range seedCount() {
 					test(t, s, x.load, x.length, seed)
 				}
 			})
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -47,6 +47,11 @@
 		Shares: []datagram.Share{{Service: routedServiceKey, Weight: 1}},
 		Urgent: l.urgent, TargetLatency: l.targetLatency,
 	}
+	n.Services = map[datagram.ServiceKey]datagram.Service{}
+	for k, s := range w.config.Services {
+		s.Prioritized = s.Prioritized || l.urgent
+		n.Services[k] = s
+	}
 	w.config = &n
 	for _, b := range w.balancersByAddress() {
 		b.b.SetConfiguration(&n)
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -41,6 +41,7 @@
 	muted           map[datagram.IP]bool // VMs whose messages to other VMs are dropped
 	partitioned     map[datagram.IP]bool // VMs that can reach only callers and each other
 	placement       datagram.Placement
+	admission       datagram.Admission
 	busyAt          float64       // see datagram.Agent.BusyAt
 	maxMessageDelay time.Duration // limit of the random delay of each message, as on busy VMs; 0: no delay
 	routeSalt       uint64        // input to the router's hash; another value moves nearly all flows
@@ -227,6 +228,8 @@
 	up        bool
 	startedAt time.Duration
 	nextTick  time.Duration
+	// clockError is how far its wall clock is ahead.
+	clockError time.Duration
 	// frozen is set while the balancer is paused; pending holds what it receives meanwhile.
 	frozen  bool
 	pending []func()
@@ -333,7 +336,7 @@
 	v.beginLife()
 	v.up, v.startedAt, v.nextTick = true, w.now, 0
 	v.frozen, v.pending = false, nil
-	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, Placement: w.placement, LookupRate: v.size.lookupRate()}
+	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, Placement: w.placement, Admission: w.admission, Clock: func() time.Duration { return w.now + v.clockError }, LookupRate: v.size.lookupRate()}
 	v.b.Start()
 	life := v.life
 	w.after(cmp.Or(w.storeLatency, defaultStoreLatency), func() {
@@ -442,7 +445,7 @@
 	}
 	w := v.w
 	v.up, v.startedAt, v.life = true, w.now, v.life+1
-	v.a = &datagram.Agent{Life: w.newLife(), Service: v.service, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, BusyAt: w.busyAt}
+	v.a = &datagram.Agent{Life: w.newLife(), Service: v.service, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, BusyAt: w.busyAt, Admission: w.admission}
 	life := v.life
 	v.a.Probe = func() {
 		w.after(time.Millisecond, func() {
--- a/node/options.go
+++ b/node/options.go
@@ -27,8 +27,25 @@
 	Keys     []string `help:"Fleet keys as id:secret, as printed by pomeloway key new." required:"" env:"POMELOWAY_KEYS" group:"Keys"`
 	Metrics  uint16   `help:"Port of the HTTP endpoints for operators: /metrics, /state; 0 to serve none." default:"9464" env:"POMELOWAY_METRICS" group:"Addresses"`
 	Lines    int      `help:"Maximum number of log lines per second about flows and requests; lines above this number are only counted." default:"200" env:"POMELOWAY_LOG_LINES" group:"Logs"`
+	// Admission is auto or off; empty means auto.
+	Admission string `help:"What happens when a service with routes of several priorities gets more work than its upstreams can do: auto refuses openings of the less urgent routes by the service's admission level, off lets all openings wait." default:"auto" env:"POMELOWAY_ADMISSION" group:"Overload"`
 }
 
+// admission returns the setting for the balancer or agent.
+func (o *Options) admission() datagram.Admission {
+	if o.Admission == admissionOff {
+		return datagram.AdmitAll
+	}
+	return datagram.AdmitByLevel
+}
+
+// Values of Options.Admission, and its environment variable.
+const (
+	admissionAuto     = "auto"
+	admissionOff      = "off"
+	admissionVariable = "POMELOWAY_ADMISSION"
+)
+
 // linesVariable is the environment variable of Options.Lines.
 const linesVariable = "POMELOWAY_LOG_LINES"
 
@@ -40,6 +57,8 @@
 	_, err := keyring.Parse(o.Keys)
 	f.AddError("--keys", err)
 	f.RequireVariable(o.Lines >= 0, "--lines", linesVariable, "must be 0 or more")
+	f.RequireVariable(o.Admission == "" || o.Admission == admissionAuto || o.Admission == admissionOff, "--admission", admissionVariable,
+		fmt.Sprintf("must be auto or off, not %q", o.Admission))
 	return f.ErrOrNil()
 }
 
