Spread the beginnings of accounts' periods over the whole period

Cause: the offset took 32 bits of nanoseconds modulo 8 s, so all accounts began their periods within 4.3 s of it, and a clock that is off by 1 s decided differently for 0.178 of the accounts at times; the test looked at one time. Change: the offset is a share of the period. The test looks at each second.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -61,7 +61,7 @@
 // RankOf returns the rank of an opening of the account. wall is the time since a moment that all
 // balancers agree on, such as the Unix epoch.
 func RankOf(p Priority, a Account, wall time.Duration) Rank {
-	offset := time.Duration(uint64(a) >> 32 % uint64(period))
+	offset := time.Duration(float64(a>>32) / (1 << 32) * float64(period))
 	n := uint32((wall + offset) / period)
 	place := uint64(uint32(a) + n*step)
 	if p == Urgent {
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -58,23 +58,25 @@
 // against an admitted share that differs from the level's.
 func TestRankDependsOnClocksLittle(t *testing.T) {
 	const accounts, skew = 20_000, time.Second
-	differ, admitted := 0, 0
 	l := Level(levelUrgent + 64)
-	for n := range uint64(accounts) {
-		a := Account(n * 0x9e3779b97f4a7c15)
-		x, y := l.Admits(RankOf(Ordinary, a, start)), l.Admits(RankOf(Ordinary, a, start+skew))
-		if x != y {
-			differ++
+	for at := time.Duration(start); at < start+period; at += skew {
+		differ, admitted := 0, 0
+		for n := range uint64(accounts) {
+			a := Account(n * 0x9e3779b97f4a7c15)
+			x, y := l.Admits(RankOf(Ordinary, a, at)), l.Admits(RankOf(Ordinary, a, at+skew))
+			if x != y {
+				differ++
+			}
+			if x {
+				admitted++
+			}
 		}
-		if x {
-			admitted++
+		if share := float64(differ) / accounts; share > 1.1*float64(skew)/float64(period) {
+			t.Errorf("%v: a clock that is off by %v decides differently for %.3f of the accounts", at, skew, share)
+		}
+		if share := float64(admitted) / accounts; share < 0.48 || share > 0.52 {
+			t.Errorf("%v: %.3f of the accounts are admitted, want 0.5", at, share)
 		}
-	}
-	if share := float64(differ) / accounts; share > 1.1*float64(skew)/float64(period) {
-		t.Errorf("a clock that is off by %v decides differently for %.3f of the accounts", skew, share)
-	}
-	if share := float64(admitted) / accounts; share < 0.48 || share > 0.52 {
-		t.Errorf("%.3f of the accounts are admitted, want 0.5", share)
 	}
 }
 
