Don't reset a flow while one of its homes hears its agent

A balancer that gets no datagrams of one agent for 2 s considers it gone, though others hear it. When a caller repeats a packet, the balancer looks the flow up, its homes name the agent, and it resets the flow, whose requests are answered. Change: a home's answer about one flow says, in header bits that had no use, which of the agents that it names it hears. Their flows are not gone. Earlier builds ignore the bits; a home of an earlier build says nothing, as before. Measured: TestAgentThatHomesHearHoldsItsFlows fails before with one reset in two of four cases, and passes now; go test ./datagram passes.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -303,7 +303,7 @@
 	case KindLocate:
 		b.handleLocate(from, p, now)
 	case KindLocated:
-		b.handleLocated(from, p, now)
+		b.handleLocated(from, h, p, now)
 	}
 }
 
--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -267,7 +267,7 @@
 		b.Count.BadMessages++
 		return
 	}
-	c := b.coverage(now)
+	c, p0 := b.coverage(now), p
 	m := append(b.scratch[:HeaderLen], byte(len(c.uncovered)))
 	m = appendIPs(m, c.uncovered)
 	for ; len(p) > 0; p = p[flowLen:] {
@@ -281,7 +281,40 @@
 		m = appendIPs(m, x.list())
 	}
 	b.Count.Located++
-	b.send(m, Message{Kind: KindLocated}, from)
+	b.send(m, b.locatedHeader(p0, c.uncovered, now), from)
+}
+
+// locatedHeader returns the header of the answer to a question. If the question is about one flow,
+// which is so in lookups, the header says which of the named agents this home hears.
+func (b *Balancer) locatedHeader(question []byte, uncovered []IP, now time.Duration) Message {
+	h := Message{Kind: KindLocated}
+	if len(question) != flowLen {
+		return h
+	}
+	f, _ := decodeFlow(question)
+	x, _ := b.directory.flows.get(f)
+	h.Requests, h.Opening = uint8(b.heardOf(x.list(), now)), b.heardOf(uncovered, now)
+	return h
+}
+
+// heardOf returns a bit for each of the first agents, which is set if the agent is reachable.
+func (b *Balancer) heardOf(ips []IP, now time.Duration) (bits uint32) {
+	for i, ip := range ips[:min(len(ips), maxUncovered)] {
+		if a := b.agents.byIP[ip]; a != nil && a.reachable(now) {
+			bits |= 1 << i
+		}
+	}
+	return bits
+}
+
+// selectByBits returns the addresses whose bits are set.
+func selectByBits(ips []IP, bits uint32) (out []IP) {
+	for i, ip := range ips {
+		if bits&(1<<i) != 0 {
+			out = append(out, ip)
+		}
+	}
+	return out
 }
 
 func appendFlow(b []byte, f Flow) []byte {
--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -64,6 +64,7 @@
 	authoritative [homesPerFlow]bool
 	holders       []IP // agents that homes named
 	uncovered     []IP // agents whose flows the homes do not know completely
+	heard         []IP // agents that a home hears, so that silence here proves nothing
 	asked         []IP
 	// answered are the agents that denied the flow or reported that they can't tell.
 	answered     []IP
@@ -158,7 +159,7 @@
 		return !slices.Contains(l.denied, ip) && (slices.Contains(l.holders, ip) || !slices.Contains(l.answered, ip))
 	})
 	l.homes = b.homes.choose(l.flow)
-	l.homeAnswered, l.authoritative, l.uncovered = [homesPerFlow]bool{}, [homesPerFlow]bool{}, nil
+	l.homeAnswered, l.authoritative, l.uncovered, l.heard = [homesPerFlow]bool{}, [homesPerFlow]bool{}, nil, nil
 	b.lookups.schedule(l, now+homeAnswerTimeout)
 	for i, ip := range l.homes {
 		switch {
@@ -197,7 +198,7 @@
 }
 
 // handleLocated handles a home's answer.
-func (b *Balancer) handleLocated(from IP, p []byte, now time.Duration) {
+func (b *Balancer) handleLocated(from IP, h Message, p []byte, now time.Duration) {
 	uncovered, ls, ok := decodeLocated(p)
 	if !ok {
 		b.Count.BadMessages++
@@ -209,6 +210,8 @@
 			continue
 		}
 		if i := slices.Index(l.homes[:], from); i >= 0 {
+			l.heard = append(l.heard, selectByBits(x.holders, uint32(h.Requests))...)
+			l.heard = append(l.heard, selectByBits(uncovered, h.Opening)...)
 			l.addHomeAnswer(i, x.holders, uncovered, x.authoritative)
 			b.advance(l, now)
 		}
@@ -372,14 +375,15 @@
 	return ReasonAgentSilent
 }
 
-// isGone reports whether it is proved that no agent holds the flow.
+// isGone reports whether it is proved that no agent holds the flow. An agent that only this
+// balancer does not hear may hold it: datagrams of the agent to this balancer are lost.
 func (b *Balancer) isGone(l *lookup, now time.Duration) bool {
 	if slices.Contains(l.authoritative[:], false) || l.callerReset {
 		return false
 	}
 	for _, ip := range slices.Concat(l.holders, l.uncovered) {
 		a := b.agents.byIP[ip]
-		if !slices.Contains(l.denied, ip) && (a == nil || a.mayHoldFlows(now)) {
+		if !slices.Contains(l.denied, ip) && (a == nil || a.mayHoldFlows(now) || slices.Contains(l.heard, ip)) {
 			return false
 		}
 	}
--- a/datagram/lookup_test.go
+++ b/datagram/lookup_test.go
@@ -130,9 +130,62 @@
 // answerAsHome delivers another balancer's answer to a lookup.
 func answerAsHome(b *Balancer, from IP, port uint16, now time.Duration, holders ...IP) {
 	p := appendFlow([]byte{0}, testFlow(port))
-	b.handleLocated(from, appendIPs(append(p, byte(len(holders))), holders), now)
+	b.handleLocated(from, Message{}, appendIPs(append(p, byte(len(holders))), holders), now)
 }
 
+// Guards against a balancer that misses all datagrams of one agent, and resets its flows although
+// their homes hear the agent. Homes of the build before don't say whom they hear.
+func TestAgentThatHomesHearHoldsItsFlows(t *testing.T) {
+	for name, x := range map[string]struct {
+		header Message
+		silent bool // the agent is silent here, and has left all verifications unanswered
+		resets int
+	}{
+		"home hears the holder":           {Message{Requests: 1}, true, 0},
+		"home hears the uncovered agent":  {Message{Opening: 1}, true, 0},
+		"home of the build before":        {Message{}, true, 1},
+		"home does not hear it, but this": {Message{}, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			b, s := testBalancer(t, 3, now-200*time.Millisecond)
+			addPeer(b, 101, now)
+			if x.silent {
+				leaveUnanswered(b, 1, now)
+			}
+			b.HandleCaller(plainPacket(plainData, 5), now)
+			p := appendFlow(appendIPs([]byte{1}, []IP{1}), testFlow(5))
+			b.handleLocated(101, x.header, appendIPs(append(p, 1), []IP{1}), now)
+			resumeLookups(b, now+2*agentAnswerTimeout)
+			if s.caller != x.resets {
+				t.Errorf("%d resets, want %d", s.caller, x.resets)
+			}
+		})
+	}
+}
+
+// Guards against a home's answer that does not say which agents the home hears.
+func TestHomeTellsWhomItHears(t *testing.T) {
+	now := 10 * time.Second
+	b, _ := testBalancer(t, 3, now)
+	b.directory.flows.set(testFlow(5), holders{2, 1, 9})
+	b.agents.byIP[2].lastSeen = now - time.Minute
+	var got Message
+	b.Out = &headerRecorder{recorder: newRecorder(t), last: &got}
+	b.handleLocate(101, appendFlow(nil, testFlow(5)), now)
+	if got.Requests != 0b010 {
+		t.Errorf("the header says that it hears %b of 2, 1 and 9, want the second", got.Requests)
+	}
+}
+
+// headerRecorder records the header of the last message.
+type headerRecorder struct {
+	*recorder
+	last *Message
+}
+
+func (w *headerRecorder) ToProcess(_ IP, m []byte) { w.keys(w.last, m) }
+
 // Guards against resetting a flow because its address is now routed to another service. The
 // balancer must ask an agent that a home names whatever service that agent belongs to.
 func TestLookupFindsFlowOfFormerService(t *testing.T) {
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -60,7 +60,8 @@
 	Kind   Kind
 	Reason Reason
 	// Priority is set in openings. Requests is set in refusals: the number of requests at
-	// the upstream.
+	// the upstream. In a home's answer about one flow, Requests has a bit for each agent that
+	// may hold the flow, and Opening one for each uncovered agent: the home hears it.
 	Priority Priority
 	Requests uint8
 	// Budget is set in openings: the time left to answer the flow's first request within its
