Estimate service times request by request and report them

Cause: the agent's estimate was a quotient of slot time and requests, without a tail, a route or a utilization, and half of an old speed stayed in it for 2 s. The load report carries tail and utilization; event 2207 and the count SpeedChanges tell of a change.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomeloway.example/pomeloway/link"
+	"pomeloway.example/pomeloway/servicetime"
 )
 
 // AgentOutput sends an agent's packets and messages. The agent may reuse a buffer as soon
@@ -64,6 +65,8 @@
 	flows            table[*flowState]
 	openFlows        int
 	requests         requests
+	speedLogged      servicetime.Estimate // the last that was logged, and when
+	speedLoggedAt    time.Duration
 	failures         failures
 	expectedRequests expectedRequests
 	held             []heldOpening       // the oldest first
@@ -94,6 +97,8 @@
 	Rejected, Held, Kept uint64
 	// Broken is the number of flows that the upstream reset during a request.
 	Broken uint64
+	// SpeedChanges is the number of changes of the upstream's service time.
+	SpeedChanges uint64
 }
 
 type balancerView struct {
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -265,22 +265,26 @@
 	}
 }
 
-// endRequest ends the flow's request, whose answer has begun.
-func (a *Agent) endRequest(f *flowState, now time.Duration) {
+// endRequest ends the flow's request, whose answer has begun. It returns the request's service
+// time, or 0 if that is not known.
+func (a *Agent) endRequest(f *flowState, now time.Duration) (took time.Duration) {
 	if f.request == 0 {
-		return
+		return 0
 	}
-	switch {
-	case a.upstream.state == UpstreamUnknown:
+	processed := true
+	if a.upstream.state == UpstreamUnknown {
 		a.requests.cancel(f.request, assumedSlots, now) // its slots are only assumed, so nothing is learned
-	case !a.requests.end(f.request, f.ahead, a.upstream.slotCount(), now):
+	} else {
+		took, processed = a.requests.end(f.request, f.ahead, a.upstream.slotCount(), now)
+	}
+	f.request = 0
+	if !processed {
 		a.Count.Rejected++
-		f.request = 0
-		return
+		return 0
 	}
 	a.failures.note(false, now)
 	a.Observe.record(ObserveRequest, now-f.requestStart)
-	f.request = 0
+	return took
 }
 
 // cancelRequest ends the flow's request without an answer.
@@ -427,7 +431,7 @@
 		a.register(k.Flow, f, now)
 	}
 	if k.Length > 0 {
-		a.endRequest(f, now)
+		a.noteServiceTime(k.Flow.Address, a.endRequest(f, now), now)
 	}
 	if f.lookupPending {
 		a.reportHeld(k.Flow, f)
--- a/datagram/hold_test.go
+++ b/datagram/hold_test.go
@@ -13,7 +13,7 @@
 	a.Start()
 	a.HandleAnnouncement(&Announcement{Service: 7, Born: 5, Sequence: 1, Slots: 2}, now)
 	a.lastRecount = now // the requests belong to no flows
-	a.requests.busy, a.requests.done, a.requests.updatedAt = 300*time.Millisecond, 10, now
+	a.requests.assumeServiceTime(30*time.Millisecond, now)
 	for range n {
 		a.requests.begin(2, now)
 	}
--- a/datagram/kept_test.go
+++ b/datagram/kept_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pomeloway.example/pomeloway/servicetime"
 )
 
 // keepingAgent returns an agent with five open flows to a route with a target latency of 250 ms,
@@ -37,7 +39,7 @@
 		"first request":        {30, func(_ *Agent, f *flowState) { f.hadRequest = false }, true},
 		"urgent":               {30, func(_ *Agent, f *flowState) { f.urgent = true }, true},
 		"no target":            {30, func(a *Agent, _ *flowState) { clear(a.targets) }, true},
-		"service time unknown": {30, func(a *Agent, _ *flowState) { a.requests.done = 0 }, true},
+		"service time unknown": {30, func(a *Agent, _ *flowState) { a.requests.times = servicetime.Estimator[Endpoint]{} }, true},
 		"many are kept":        {30, func(a *Agent, _ *flowState) { a.kept = make([]keptRequest, maxKept) }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/datagram/loadreport.go
+++ b/datagram/loadreport.go
@@ -113,12 +113,41 @@
 
 // loadReport returns the report on the agent's upstream.
 func (a *Agent) loadReport(now time.Duration) LoadReport {
+	e, u := a.requests.times.Overall(now), UtilizationUnknown
+	if share, known := a.requests.times.Utilization(now); known {
+		u = UtilizationOf(share)
+	}
 	return LoadReport{
-		Present: true, ServiceTime: DurationCodeOf(a.requests.serviceTime()), Utilization: UtilizationUnknown,
+		Present: true, ServiceTime: DurationCodeOf(e.Mean), TailTime: DurationCodeOf(e.Tail), Utilization: u,
 		Requests: uint8(min(a.requestCount(now), math.MaxUint8)), Level: LevelAll,
 	}
 }
 
+// speedLogInterval bounds the lines on changes of an upstream's speed.
+const speedLogInterval = 5 * time.Second
+
+// noteServiceTime adds a request's service time to the estimate of its route, and logs a change of
+// the upstream's speed.
+func (a *Agent) noteServiceTime(route Endpoint, took, now time.Duration) {
+	if took == 0 {
+		return
+	}
+	a.requests.times.AddTo(route, took, now)
+	if a.speedLogged.Known() && now-a.speedLoggedAt < speedLogInterval {
+		return
+	}
+	e := a.requests.times.Overall(now)
+	switch {
+	case !e.Known():
+	case !a.speedLogged.Known():
+		a.speedLogged, a.speedLoggedAt = e, now
+	case e.DiffersFrom(a.speedLogged):
+		a.Count.SpeedChanges++
+		a.Log.speedChanged(0, a.speedLogged.Mean, e.Mean, e.Samples, 0)
+		a.speedLogged, a.speedLoggedAt = e, now
+	}
+}
+
 // updateReport stores a report unless the message has none.
 func (a *agentView) updateReport(r LoadReport, now time.Duration) {
 	if r.Present {
--- a/datagram/log.go
+++ b/datagram/log.go
@@ -128,3 +128,19 @@
 	}
 	l.Log.Add(id, slog.Uint64("revision", revision))
 }
+
+// speedChanged logs that an upstream has become faster or slower. The agent of the upstream logs
+// it with the number of samples, a balancer with the agent and the mean of the service.
+func (l *Log) speedChanged(agent IP, old, now time.Duration, samples int, mean time.Duration) {
+	if l == nil || l.Log == nil {
+		return
+	}
+	at := []slog.Attr{slog.Duration("old", old), slog.Duration("new", now)}
+	if samples > 0 {
+		at = append(at, slog.Int("samples", samples))
+	}
+	if agent != 0 {
+		at = append(at, slog.String("agent", agent.String()), slog.Duration("mean", mean))
+	}
+	l.Log.Add(events.SpeedChanged, at...)
+}
--- a/datagram/requests_test.go
+++ b/datagram/requests_test.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// assumeServiceTime makes requests of the given service time known.
+func (r *requests) assumeServiceTime(d, now time.Duration) {
+	for range 10 {
+		r.times.Add(d, now)
+	}
+	r.updatedAt = now
+}
+
 // Guards against an estimate of the service time that grows with the queue.
 func TestServiceTimeLeavesOutWaiting(t *testing.T) {
 	const service, slots = 30 * time.Millisecond, 2
@@ -19,7 +27,7 @@
 			}
 			for range 200 {
 				now += service / time.Duration(min(queued, slots))
-				if !r.end(ids[0], queued-1, slots, now) {
+				if _, processed := r.end(ids[0], queued-1, slots, now); !processed {
 					t.Fatal("a request in order counts as rejected")
 				}
 				id, _ := r.begin(slots, now)
@@ -49,7 +57,8 @@
 	}
 	end := func(x request) bool {
 		now += time.Millisecond
-		return r.end(x.id, x.ahead, slots, now)
+		_, processed := r.end(x.id, x.ahead, slots, now)
+		return processed
 	}
 	var queue []request
 	for range 10 {
