Place openings by expected time where upstreams differ in speed

Cause: placement by the number of flows and requests per slot gives a slow upstream as many openings as a fast one, and requests that take 7 times as long are late there. Change: package placement takes, among the four agents that hashing ranks highest, the one at which the answer is expected first, with a small weight on the risk to be late. It decides only for services with a target latency and only if two upstreams' mean and tail differ by a factor of 1.5; otherwise the choice is by count as before. Every 32nd opening is placed by count, so that a recovery is seen.

--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -23,11 +23,15 @@
 	zonesOut  map[ZoneKey]bool // shared with the balancer
 	byIP      map[IP]*agentView
 	byService map[ServiceKey][]*agentView
+	speeds    map[ServiceKey]*serviceSpeed // of the services with a target latency
+	expected  observer                     // receives expected times; may be nil
+	counts    *BalancerCounts
+	log       *Log
 	recordsAt time.Duration // when the records were last read
 }
 
 func newAgents() agents {
-	return agents{byIP: map[IP]*agentView{}, byService: map[ServiceKey][]*agentView{}}
+	return agents{byIP: map[IP]*agentView{}, byService: map[ServiceKey][]*agentView{}, speeds: map[ServiceKey]*serviceSpeed{}, counts: &BalancerCounts{}}
 }
 
 // applyStatus stores a status unless it is outdated. restarted is true if the agent has
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pomeloway.example/pomeloway/placement"
 )
 
 const (
@@ -42,6 +44,8 @@
 	reportedLoad    int // flows and requests at its upstream, as last reported
 	report          LoadReport
 	reportedAt      time.Duration // when report arrived
+	slow            bool          // its upstream is slower than the others
+	speedNoted      time.Duration // service time when slow was last set
 	pendingOpenings int           // openings sent to it and not answered yet
 	// declinedAt is when the agent last refused an opening as busy, by the opening's
 	// priority.
@@ -89,6 +93,26 @@
 	return float64(a.reportedLoad+a.pendingOpenings) / float64(max(a.status.Slots, 1))
 }
 
+// candidate returns what the choice by expected time needs to know of the agent.
+func (a *agentView) candidate(c class, zone ZoneKey, now time.Duration) placement.Candidate {
+	p := placement.Candidate{
+		Slots: int(a.status.Slots), Requests: int(a.status.UnderWay), Pending: a.pendingOpenings, Flows: a.reportedLoad,
+		RoundTrip: otherZoneRoundTrip, Class: uint8(c), OwnZone: a.status.Zone == zone, Age: now - a.lastSeen,
+	}
+	if p.OwnZone {
+		p.RoundTrip = 0
+	}
+	if r := &a.report; r.Present {
+		p.ServiceTime, p.TailTime, p.Requests = r.ServiceTime.Duration(), r.TailTime.Duration(), int(r.Requests)
+		p.Utilization, p.UtilizationKnown = r.Utilization.Share()
+		p.Age = now - a.reportedAt
+	}
+	return p
+}
+
+// otherZoneRoundTrip is about the time between availability zones of a region, both ways.
+const otherZoneRoundTrip = 2 * time.Millisecond
+
 // updateLoad stores the load reported in the answer to an opening, which is newer than the
 // last status.
 func (a *agentView) updateLoad(load uint16) {
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -72,6 +72,10 @@
 type BalancerCounts struct {
 	Openings, Opened, Refused, Unanswered, Resets, NoRoute, NoAgent uint64
 	Packets, Lookups, Asked, NotFound, Cut, BadMessages, BadPackets uint64
+	// PlacedByTime is the number of openings whose agents were chosen by expected time, Trickle
+	// the number of those that were placed by count at such a service, so that the speeds of
+	// all its upstreams stay known.
+	PlacedByTime, Trickle uint64
 	// Entries is the number of flows registered at this home, Resends the number of
 	// requests to register them again, Located the number of lookups answered for other
 	// balancers.
@@ -98,6 +102,7 @@
 	b.zonesOut = map[ZoneKey]bool{}
 	b.agents = newAgents()
 	b.agents.placement, b.agents.zone, b.agents.zonesOut = b.Placement, b.Zone, b.zonesOut
+	b.agents.expected, b.agents.counts, b.agents.log = b.Observe, &b.Count, b.Log
 	b.peers = map[IP]*peerView{}
 	b.flows = newTable[flowLocation](locationRotationInterval, maxLocations)
 	b.openings, b.transfers = newOpenings(), newTransfers(b.Bandwidth)
@@ -129,6 +134,7 @@
 		return false
 	}
 	b.config = c
+	b.agents.setTimed(c)
 	return true
 }
 
--- a/datagram/observe.go
+++ b/datagram/observe.go
@@ -22,11 +22,14 @@
 	ObserveHold
 	// ObserveKept: how long a request on an open flow was kept back.
 	ObserveKept
+	// ObserveExpected: the time after which an opening's answer was expected, where the choice
+	// of the agent was made by it.
+	ObserveExpected
 	// ObservationCount is the number of observations.
 	ObservationCount
 )
 
-var observationNames = [ObservationCount]string{"opening", "handshake", "request", "linkWait", "hold", "kept"}
+var observationNames = [ObservationCount]string{"opening", "handshake", "request", "linkWait", "hold", "kept", "expected"}
 
 // String returns the name of the observation's metric.
 func (o Observation) String() string { return observationNames[o] }
@@ -50,7 +53,9 @@
 	Agents        int            `json:"agents"`
 	AgentsHeard   int            `json:"agentsHeard"`
 	AgentsDoubted int            `json:"agentsDoubted"`
-	Balancers     int            `json:"balancers"`
+	// AgentsSlow is the number of agents whose upstreams are slower than the mean.
+	AgentsSlow int `json:"agentsSlow"`
+	Balancers  int `json:"balancers"`
 	// Watching: this balancer watches the store. WatcherAge is the time since another one that
 	// does was last known to be alive.
 	Watching     bool   `json:"watching"`
@@ -74,6 +79,9 @@
 		if a.class(now, b.zonesOut) == classDoubted {
 			s.AgentsDoubted++
 		}
+		if a.slow {
+			s.AgentsSlow++
+		}
 	}
 	if b.Log != nil {
 		s.LinesLeftOut = b.Log.LeftOut
@@ -83,23 +91,31 @@
 
 // AgentState is an agent's part of /state and of its metrics.
 type AgentState struct {
-	Counts       AgentCounts `json:"counts"`
-	Upstream     string      `json:"upstream"`
-	State        string      `json:"upstreamState"`
-	Known        int         `json:"flowsKnown"`
-	Open         int         `json:"flows"`
-	UnderWay     int         `json:"requestsUnderWay"`
-	Balancers    int         `json:"balancers"`
-	ZoneOut      bool        `json:"zoneOut"`
-	Revision     uint64      `json:"evacuationsRevision"`
-	Version      Version     `json:"version"`
-	LinesLeftOut uint64      `json:"linesLeftOut"`
+	Counts   AgentCounts `json:"counts"`
+	Upstream string      `json:"upstream"`
+	State    string      `json:"upstreamState"`
+	Known    int         `json:"flowsKnown"`
+	Open     int         `json:"flows"`
+	UnderWay int         `json:"requestsUnderWay"`
+	// ServiceTime is the mean service time, TailTime the time that nine in ten requests do not
+	// exceed, in milliseconds; 0: not known. Utilization is the share of slot time in use.
+	ServiceTime  float64 `json:"serviceTimeMs"`
+	TailTime     float64 `json:"tailTimeMs"`
+	Utilization  float64 `json:"utilization"`
+	Balancers    int     `json:"balancers"`
+	ZoneOut      bool    `json:"zoneOut"`
+	Revision     uint64  `json:"evacuationsRevision"`
+	Version      Version `json:"version"`
+	LinesLeftOut uint64  `json:"linesLeftOut"`
 }
 
 // Status returns the agent's state and counts.
-func (a *Agent) Status(time.Duration) AgentState {
+func (a *Agent) Status(now time.Duration) AgentState {
+	e := a.requests.times.Overall(now)
+	u, _ := a.requests.times.Utilization(now)
 	s := AgentState{
 		Counts: a.Count, Upstream: a.upstream.id, State: a.upstream.state.String(), Known: a.flows.len(), Open: a.openFlows,
+		ServiceTime: milliseconds(e.Mean), TailTime: milliseconds(e.Tail), Utilization: u,
 		UnderWay: a.requests.count(), Balancers: len(a.balancers), ZoneOut: a.zoneOut, Revision: a.revision, Version: a.version,
 	}
 	if a.Log != nil {
@@ -107,3 +123,5 @@
 	}
 	return s
 }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -230,7 +230,7 @@
 func (b *Balancer) retryWaiting(o *opening, now time.Duration) {
 	o.waiting = false
 	p := o.retryPriority(now)
-	a, c, busy := b.agents.choose(o.flow.hash(), o.service, nil, p, now)
+	a, c, busy := b.agents.choose(o.flow.hash(), o.service, nil, p, o.targetLatency, now)
 	switch {
 	case now-o.started > openingTimeout, a == nil && !busy:
 		b.giveUp(o, now)
@@ -264,7 +264,7 @@
 		p = o.retryPriority(now)
 	}
 	if o.attempts < maxAttempts && !o.forced && !o.hasSampled() {
-		a, c, busy = b.agents.choose(o.flow.hash(), o.service, o.tried[:o.attempts], p, now)
+		a, c, busy = b.agents.choose(o.flow.hash(), o.service, o.tried[:o.attempts], p, o.targetLatency, now)
 	}
 	switch {
 	case a != nil:
--- a/experiment/churn_test.go
+++ b/experiment/churn_test.go
@@ -11,7 +11,7 @@
 // newSite creates a site of balancers, agents in three availability zones, and callers.
 // It runs the site until processes know each other and flows are open.
 func newSite(t *testing.T, seed uint64, balancers, agents, callers int) *simulation {
-	return newSiteWithPlacement(t, seed, balancers, agents, callers, datagram.PlaceByTwoChoices, 0)
+	return newSiteWithPlacement(t, seed, balancers, agents, callers, datagram.PlaceByTime, 0)
 }
 
 // newSiteWithPlacement is like newSite, with the given placement and the given limit of
--- a/experiment/options.go
+++ b/experiment/options.go
@@ -37,7 +37,8 @@
 // Policies.
 const (
 	// PolicyIdler is the policy used in production: a balancer chooses the less loaded of
-	// two agents, and agents decline openings when busy.
+	// two agents, or by expected time where speeds differ, and agents decline openings when
+	// busy.
 	PolicyIdler Policy = "idler"
 	// PolicyHash chooses the agent that the hash ranks first; agents never decline for load.
 	PolicyHash Policy = "hash"
@@ -57,7 +58,7 @@
 	case PolicyUngated:
 		return datagram.PlaceByTwoChoices, neverBusy
 	}
-	return datagram.PlaceByTwoChoices, 0
+	return datagram.PlaceByTime, 0
 }
 
 const (
--- a/experiment/upstream.go
+++ b/experiment/upstream.go
@@ -22,6 +22,7 @@
 	heartbeatDelay time.Duration            // delay between the start and the first heartbeat
 	born           int64                    // start time in ms, which identifies this run
 	sequence       int64                    // number of the latest heartbeat
+	speed          float64                  // a request's processing time is divided by it; 0: 1
 	slots          int                      // requests processed at the same time
 	serviceTime    time.Duration            // processing time of a request, unless its workload has another
 	queue          int                      // requests queued before more are shed; 0: maxQueuedRequests
@@ -184,6 +185,9 @@
 		}
 	}
 	work := w.serviceTime(p, u)
+	if u.speed > 0 {
+		work = time.Duration(float64(work) / u.speed)
+	}
 	if w.now-u.startedAt < 2*time.Second {
 		work = work * 8 / 5 // it is slower shortly after its start
 	}
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"cmp"
+	"math"
 	"time"
 
 	"pomeloway.example/pomeloway/datagram"
@@ -16,6 +18,9 @@
 	targetLatency time.Duration
 	timeout       time.Duration
 	serviceTime   time.Duration // mean processing time
+	// longShare of the requests take longFactor times as long, but at most longest; 0: no limit.
+	longShare, longFactor float64
+	longest               time.Duration
 	// flowPerRequest: callers open a flow for each request.
 	flowPerRequest bool
 	worth          float64 // of a request that is answered within the target latency
@@ -83,12 +88,16 @@
 }
 
 // serviceTime returns how long the upstream processes the request in the packet: between half
-// and one and a half of the mean of its workload.
+// and one and a half of the mean of its workload, or longer for some.
 func (w *simulation) serviceTime(p datagram.Packet, u *upstream) time.Duration {
 	for _, l := range w.workloads {
 		if l.address == p.Flow.Address {
 			x := fleet.Mix(fleet.Mix(w.seed, uint64(p.Flow.Caller.IP)<<16|uint64(p.Flow.Caller.Port)), uint64(p.Seq))
-			return l.serviceTime/2 + time.Duration(x%uint64(l.serviceTime))
+			d := l.serviceTime/2 + time.Duration(x%uint64(l.serviceTime))
+			if l.longShare > 0 && float64(fleet.Mix(x, 1)%1_000_000) < l.longShare*1_000_000 {
+				d = max(d, min(time.Duration(float64(d)*l.longFactor), cmp.Or(l.longest, math.MaxInt64)))
+			}
+			return d
 		}
 	}
 	return u.serviceTime
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -41,9 +41,10 @@
 	muted           map[datagram.IP]bool // VMs whose messages to other VMs are dropped
 	partitioned     map[datagram.IP]bool // VMs that can reach only callers and each other
 	placement       datagram.Placement
-	busyAt          float64       // see datagram.Agent.BusyAt
-	maxMessageDelay time.Duration // limit of the random delay of each message, as on busy VMs; 0: no delay
-	routeSalt       uint64        // input to the router's hash; another value moves nearly all flows
+	changeReport    func(from datagram.IP, r *datagram.LoadReport) // changes agents' load reports on the way, if not nil
+	busyAt          float64                                        // see datagram.Agent.BusyAt
+	maxMessageDelay time.Duration                                  // limit of the random delay of each message, as on busy VMs; 0: no delay
+	routeSalt       uint64                                         // input to the router's hash; another value moves nearly all flows
 	cuts            overlapping[int]
 	losses          overlapping[float64]
 	storeDelays     overlapping[time.Duration]
@@ -259,6 +260,9 @@
 	if w.partitioned[from] != w.partitioned[to] || w.muted[from] {
 		return
 	}
+	if w.changeReport != nil {
+		m = w.withChangedReport(from, m)
+	}
 	k := datagram.Kind(m[1])
 	if w.controlBytes != nil && k >= datagram.KindAgent {
 		w.controlBytes[to] += len(m) + ipUDPHeaderLen
@@ -278,6 +282,35 @@
 	})
 }
 
+// withChangedReport returns the message with its load report changed, if it has one.
+func (w *simulation) withChangedReport(from datagram.IP, m []byte) []byte {
+	var h datagram.Message
+	c := append([]byte(nil), m...)
+	p, ok := h.Get(c, w.keys)
+	switch {
+	case !ok:
+		return m
+	case h.Kind == datagram.KindAgent:
+		w.changeReport(from, &h.Report)
+	case h.Kind == datagram.KindOpened, h.Kind == datagram.KindRefused:
+		b := p[len(p)-6:]
+		r := datagram.LoadReport{
+			Present: b[5] == 1, ServiceTime: datagram.DurationCode(b[0]), TailTime: datagram.DurationCode(b[1]),
+			Utilization: datagram.Utilization(b[2]), Requests: b[3], Level: datagram.Level(b[4]),
+		}
+		if w.changeReport(from, &r); !r.Present {
+			r = datagram.LoadReport{}
+			b[5] = 0
+		} else {
+			copy(b, []byte{byte(r.ServiceTime), byte(r.TailTime), byte(r.Utilization), r.Requests, byte(r.Level), 1})
+		}
+	default:
+		return m
+	}
+	h.Put(c, w.keys[0])
+	return c
+}
+
 // ipUDPHeaderLen is the length of the IP and UDP headers of a message.
 const ipUDPHeaderLen = 28
 
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -68,6 +68,7 @@
 		Log: &datagram.Log{Log: s.log, MaxLines: o.Lines}, LookupRate: datagram.LookupRate(s.settings.Cores, s.settings.Bandwidth),
 	}
 	b.balancer.Bandwidth = s.settings.Bandwidth
+	b.balancer.Placement = o.placement()
 	b.balancer.Observe = s.observe
 	b.offers = make(chan datagram.IP, 1)
 	b.balancer.OnNewerConfiguration = func(from datagram.IP, v datagram.Version) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -282,6 +282,8 @@
 		"no options": {Options{}, []string{"--settings ($POMELOWAY_BOOT)", "--keys ($POMELOWAY_KEYS)"}},
 		"bad key":    {Options{Settings: "f", Keys: []string{"1:short"}}, []string{"--keys ($POMELOWAY_KEYS)"}},
 		"lines":      {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, Lines: -1}, []string{"--lines ($POMELOWAY_LOG_LINES)"}},
+		"placement": {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, Placement: "fast"},
+			[]string{"--placement ($POMELOWAY_PLACEMENT)", `must be auto or count, not "fast"`}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := x.o.Validate()
--- a/node/options.go
+++ b/node/options.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"pomeloway.example/pomeloway/datagram"
@@ -23,15 +24,22 @@
 // Options are the command-line options of a datagram balancer or agent: the settings that
 // are not in the platform's settings file.
 type Options struct {
-	Settings string   `help:"Settings file that the platform provides for this VM." required:"" env:"POMELOWAY_BOOT" type:"path" placeholder:"FILE" group:"Place"`
-	Keys     []string `help:"Fleet keys as id:secret, as printed by pomeloway key new." required:"" env:"POMELOWAY_KEYS" group:"Keys"`
-	Metrics  uint16   `help:"Port of the HTTP endpoints for operators: /metrics, /state; 0 to serve none." default:"9464" env:"POMELOWAY_METRICS" group:"Addresses"`
-	Lines    int      `help:"Maximum number of log lines per second about flows and requests; lines above this number are only counted." default:"200" env:"POMELOWAY_LOG_LINES" group:"Logs"`
+	Settings  string   `help:"Settings file that the platform provides for this VM." required:"" env:"POMELOWAY_BOOT" type:"path" placeholder:"FILE" group:"Place"`
+	Keys      []string `help:"Fleet keys as id:secret, as printed by pomeloway key new." required:"" env:"POMELOWAY_KEYS" group:"Keys"`
+	Metrics   uint16   `help:"Port of the HTTP endpoints for operators: /metrics, /state; 0 to serve none." default:"9464" env:"POMELOWAY_METRICS" group:"Addresses"`
+	Placement string   `help:"How a balancer chooses the upstream of a new flow: auto (by expected time, for services that have a route with a target latency) or count (by the number of flows and requests)." default:"auto" env:"POMELOWAY_PLACEMENT" placeholder:"auto|count" group:"Load"`
+	Lines     int      `help:"Maximum number of log lines per second about flows and requests; lines above this number are only counted." default:"200" env:"POMELOWAY_LOG_LINES" group:"Logs"`
 }
 
 // linesVariable is the environment variable of Options.Lines.
 const linesVariable = "POMELOWAY_LOG_LINES"
 
+// Values of Options.Placement. An empty one is placementAuto.
+const (
+	placementAuto  = "auto"
+	placementCount = "count"
+)
+
 // Validate returns all invalid options as one error, each with its flag.
 func (o *Options) Validate() error {
 	var f settings.Errors
@@ -40,9 +48,19 @@
 	_, err := keyring.Parse(o.Keys)
 	f.AddError("--keys", err)
 	f.RequireVariable(o.Lines >= 0, "--lines", linesVariable, "must be 0 or more")
+	f.Require(slices.Contains([]string{"", placementAuto, placementCount}, o.Placement), "--placement",
+		fmt.Sprintf("must be %s or %s, not %q", placementAuto, placementCount, o.Placement))
 	return f.ErrOrNil()
 }
 
+// placement returns how balancers choose agents.
+func (o *Options) placement() datagram.Placement {
+	if o.Placement == placementCount {
+		return datagram.PlaceByTwoChoices
+	}
+	return datagram.PlaceByTime
+}
+
 // base holds what the balancer and the agent have in common.
 type base struct {
 	options   Options
