Compare placement with the most that is possible, and bound its log lines

Cause: the share in time at a load of 1.0 says little without the most that is possible, balancers could log event 2207 for an upstream near the limit often, and the ranking of four cost more than that of two. Change: tests compute the share of a place that knows all slots. Agents below the ranked ones are left out before they are copied.

--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -44,13 +44,14 @@
 	reportedLoad    int // flows and requests at its upstream, as last reported
 	report          LoadReport
 	reportedAt      time.Duration // when report arrived
-	slow            bool          // its upstream is slower than the others
-	speedNoted      time.Duration // service time when slow was last set
 	pendingOpenings int           // openings sent to it and not answered yet
 	// declinedAt is when the agent last refused an opening as busy, by the opening's
 	// priority.
 	declinedAt    [priorityEnd]time.Duration
 	previousLives [4]Life
+	slow          bool          // its upstream is slower than the others
+	speedNoted    time.Duration // service time when slow was last set, and when that was
+	speedNotedAt  time.Duration
 }
 
 // class groups agents for openings; agents of a lower class are tried first.
--- a/datagram/placement.go
+++ b/datagram/placement.go
@@ -120,23 +120,25 @@
 	for _, a := range x.byService[s] {
 		c := a.candidate(0, x.zone, now)
 		r.Add(c.Speed(v.mean))
-		x.noteSpeed(a, &c, v.mean)
+		x.noteSpeed(a, &c, v.mean, now)
 	}
 	v.alike = r.Alike()
 }
 
-// noteSpeed logs that an upstream begins or ends to be slow.
-func (x *agents) noteSpeed(a *agentView, c *placement.Candidate, mean placement.Speed) {
+// noteSpeed notes and logs that an upstream begins or ends to be slow.
+func (x *agents) noteSpeed(a *agentView, c *placement.Candidate, mean placement.Speed, now time.Duration) {
 	if !c.Known() {
 		return
 	}
-	if slow := c.IsSlow(mean); slow != a.slow && (slow || !c.IsNearlySlow(mean)) {
-		x.log.speedChanged(a.ip, a.speedNoted, c.ServiceTime, 0, mean.ServiceTime)
-		a.slow, a.speedNoted = slow, c.ServiceTime
-	}
 	if a.speedNoted == 0 {
 		a.speedNoted = c.ServiceTime
 	}
+	slow := c.IsSlow(mean)
+	if slow == a.slow || !slow && c.IsNearlySlow(mean) || a.speedNotedAt != 0 && now-a.speedNotedAt < speedLogInterval {
+		return
+	}
+	x.log.speedChanged(a.ip, a.speedNoted, c.ServiceTime, 0, mean.ServiceTime)
+	a.slow, a.speedNoted, a.speedNotedAt = slow, c.ServiceTime, now
 }
 
 // choose returns the agent for an opening of a route with the given target latency, and its
@@ -167,8 +169,10 @@
 			best, all, sameZone = c, ranking{}, ranking{}
 		}
 		r := ranked{a, max(1, fleet.Mix(hash, a.key))}
-		all.add(r, n)
-		if a.status.Zone == x.zone {
+		if r.score > all[n-1].score {
+			all.add(r, n)
+		}
+		if a.status.Zone == x.zone && r.score > sameZone[n-1].score {
 			sameZone.add(r, n)
 		}
 	}
@@ -220,12 +224,9 @@
 // ranking holds the agents that a hash ranks highest, in order.
 type ranking [rankedCount]ranked
 
-// add adds an agent if it is among the first n.
+// add adds an agent that is among the first n.
 func (p *ranking) add(r ranked, n int) {
 	i := n - 1
-	if r.score <= p[i].score {
-		return
-	}
 	for ; i > 0 && r.score > p[i-1].score; i-- {
 		p[i] = p[i-1]
 	}
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -30,6 +30,7 @@
 	w        *simulation
 	idle     []*caller
 	outcomes *outcomes // of the requests that start now
+	starts   []time.Duration
 }
 
 // outcomes counts requests by how they ended. A silent one timed out.
@@ -63,6 +64,7 @@
 func (l *workload) startNext() {
 	w := l.w
 	l.outcomes.started++
+	l.starts = append(l.starts, w.now)
 	c := l.caller()
 	c.outcomes = l.outcomes
 	c.startRequest()
@@ -93,12 +95,17 @@
 	for _, l := range w.workloads {
 		if l.address == p.Flow.Address {
 			x := fleet.Mix(fleet.Mix(w.seed, uint64(p.Flow.Caller.IP)<<16|uint64(p.Flow.Caller.Port)), uint64(p.Seq))
-			d := l.serviceTime/2 + time.Duration(x%uint64(l.serviceTime))
-			if l.longShare > 0 && float64(fleet.Mix(x, 1)%1_000_000) < l.longShare*1_000_000 {
-				d = max(d, min(time.Duration(float64(d)*l.longFactor), cmp.Or(l.longest, math.MaxInt64)))
-			}
-			return d
+			return l.work(x)
 		}
 	}
 	return u.serviceTime
 }
+
+// work returns the processing time of a request that is identified by a random number.
+func (l *workload) work(x uint64) time.Duration {
+	d := l.serviceTime/2 + time.Duration(x%uint64(l.serviceTime))
+	if l.longShare > 0 && float64(fleet.Mix(x, 1)%1_000_000) < l.longShare*1_000_000 {
+		d = max(d, min(time.Duration(float64(d)*l.longFactor), cmp.Or(l.longest, math.MaxInt64)))
+	}
+	return d
+}
