--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -8,6 +8,7 @@
 
 	"pomeloway.example/pomeloway/admission"
 	"pomeloway.example/pomeloway/link"
+	"pomeloway.example/pomeloway/servicetime"
 )
 
 // AgentOutput sends an agent's packets and messages. The agent may reuse a buffer as soon
@@ -67,6 +68,8 @@
 	flows            table[*flowState]
 	openFlows        int
 	requests         requests
+	speedLogged      servicetime.Estimate // the last that was logged, and when
+	speedLoggedAt    time.Duration
 	failures         failures
 	expectedRequests expectedRequests
 	controller       admission.Controller
@@ -101,6 +104,8 @@
 	Rejected, Held, Kept uint64
 	// Broken is the number of flows that the upstream reset during a request.
 	Broken uint64
+	// SpeedChanges is the number of changes of the upstream's service time.
+	SpeedChanges uint64
 }
 
 type balancerView struct {
--- a/experiment/admission_test.go
+++ b/experiment/admission_test.go
@@ -2,26 +2,12 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"pomeloway.example/pomeloway/datagram"
 )
 
-// seedsVariable is the environment variable with the number of seeds that long tests play.
-const seedsVariable = "POMELOWAY_SEEDS"
-
-// seedCount returns how many seeds the tests of whole sites play, 3 by default.
-func seedCount() uint64 {
-	n, err := strconv.ParseUint(os.Getenv(seedsVariable), 10, 64)
-	if err != nil || n == 0 {
-		return 3
-	}
-	return n
-}
-
 // admissionWays are the ways of admission that are compared.
 var admissionWays = map[string]datagram.Admission{
 	"waiting, no level": datagram.AdmitAll, "refusing, no level": datagram.AdmitIfIdle,
@@ -32,7 +18,7 @@
 // admissionLoads returns the loads at which they are compared, in multiples of the usual one, which
 // is half of what the upstreams bear.
 func admissionLoads() []float64 {
-	if os.Getenv(seedsVariable) == "" {
+	if !hasSeeds() {
 		return []float64{1.5, 4}
 	}
 	return []float64{1, 1.5, 2, 2.2, 2.5, 4, 5.2}
@@ -92,8 +78,8 @@
 // places of new ones.
 func TestWaysOfAdmission(t *testing.T) {
 	seeds := uint64(1)
-	if os.Getenv(seedsVariable) != "" {
-		seeds = seedCount()
+	if hasSeeds() {
+		seeds = seedCount(t)
 	}
 	for site, s := range loadedSites {
 		for _, load := range admissionLoads() {
--- a/experiment/overload_test.go
+++ b/experiment/overload_test.go
@@ -113,7 +113,7 @@
 		for name, x := range overloads {
 			t.Run(site+", "+name, func(t *testing.T) {
 				t.Parallel()
-				for seed := range seedCount() {
+				for seed := range seedCount(t) {
 					test(t, s, x.load, x.length, seed)
 				}
 			})
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -70,6 +70,7 @@
 	b.balancer.Admission = o.admission()
 	b.balancer.Clock = func() time.Duration { return time.Duration(time.Now().UnixNano()) }
 	b.balancer.Bandwidth = s.settings.Bandwidth
+	b.balancer.Placement = o.placement()
 	b.balancer.Observe = s.observe
 	b.offers = make(chan datagram.IP, 1)
 	b.balancer.OnNewerConfiguration = func(from datagram.IP, v datagram.Version) {
