Describe each broken flow in the demo's report and log

Change: the report and the log have for each broken flow its number and first connection ID, its addresses, service, agent, the agents that hold it, the balancers and times of its last datagram in each direction, when it was opened and broke, and the script's steps that were active meanwhile. The fabric records the datagrams, agents list the callers' addresses of their flows.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -363,6 +363,9 @@
 	Unrouted uint64        `json:"unrouted"`
 }
 
+// FlowAddresses returns the addresses of the callers of the open flows, as the log has them.
+func (a *Agent) FlowAddresses() []string { return a.flows.addresses() }
+
 // Counts returns the current counts.
 func (a *Agent) Counts() Counts {
 	c := a.disp.counts
--- a/agent/flows.go
+++ b/agent/flows.go
@@ -42,6 +42,16 @@
 	return len(t.open)
 }
 
+// addresses returns the addresses of the callers of the open flows.
+func (t *flowTable) addresses() (out []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.open {
+		out = append(out, c.RemoteAddr().String())
+	}
+	return out
+}
+
 func (t *flowTable) closeAll(code quic.ApplicationErrorCode, reason string) {
 	t.mu.Lock()
 	var all []*quic.Conn
--- a/demo/flow.go
+++ b/demo/flow.go
@@ -17,6 +17,7 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
+	"github.com/quic-go/quic-go/qlogwriter"
 	"github.com/rotisserie/eris"
 
 	"pomeloway.example/pomeloway/agent"
@@ -48,7 +49,12 @@
 	// from zone if the agent forwarded the request to another agent.
 	upstreamZone atomic.Int32
 	agentID      atomic.Pointer[string]
-	counted      bool
+	// number counts the flows in the order in which they were dialed, opened is when, and
+	// id is the first connection ID.
+	number  int
+	opened  time.Time
+	id      string
+	counted bool
 	// closers holds functions that close the ports which the flow has migrated to.
 	closers []func()
 }
@@ -73,8 +79,13 @@
 	ctx, stop := context.WithTimeout(ctx, openTimeout)
 	defer stop()
 	var err error
+	f.number, f.opened = f.rec.nextFlowNumber(), time.Now()
 	f.conn, err = f.tr.Dial(ctx, net.UDPAddrFromAddrPort(f.s.ServiceAddress(f.service)), f.s.callerTLS, &quic.Config{
 		MaxIdleTimeout: callerIdleTimeout, KeepAlivePeriod: callerKeepAlive, HandshakeIdleTimeout: openTimeout,
+		Tracer: func(_ context.Context, _ bool, id quic.ConnectionID) qlogwriter.Trace {
+			f.id = id.String()
+			return nil
+		},
 	})
 	if err != nil {
 		f.close()
@@ -246,7 +257,7 @@
 	switch x {
 	case failureBroken:
 		f.rec.addCause(fmt.Sprintf("%s: %v", what, err))
-		f.rec.update(func(r *Report) { r.BrokenFlows++ })
+		f.describeBroken(err, what, time.Now())
 	case failureZoneOut:
 		f.rec.update(func(r *Report) { r.FlowsGivenUpWithZone++ })
 	case failureUpstreamKilled:
--- a/demo/report.go
+++ b/demo/report.go
@@ -47,6 +47,7 @@
 	PlatformReads         uint64             `json:"platformReads"`
 	PlatformWrites        uint64             `json:"platformWrites"`
 	Broken                []string           `json:"broken"`
+	BrokenFlowDetails     []BrokenFlow       `json:"brokenFlowDetails,omitempty"`
 	Causes                map[string]int     `json:"causes,omitempty"`
 }
 
@@ -101,6 +102,7 @@
 
 // recorder collects the measurements of the callers.
 type recorder struct {
+	start   time.Time
 	mu      sync.Mutex
 	r       Report
 	samples []sample
@@ -110,6 +112,9 @@
 	shares map[string][]float64
 	// causes counts failures by their error text.
 	causes map[string]int
+	// steps are the script's steps so far; flowCount is the number of flows dialed.
+	steps     []ActiveStep
+	flowCount int
 }
 
 // sample records one finished request.
@@ -120,7 +125,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{flows: map[string]map[string]int{}, shares: map[string][]float64{}, causes: map[string]int{}}
+	return &recorder{start: time.Now(), flows: map[string]map[string]int{}, shares: map[string][]float64{}, causes: map[string]int{}}
 }
 
 // update calls f on the report while holding the lock.
--- a/demo/script.go
+++ b/demo/script.go
@@ -32,6 +32,10 @@
 	drained *upstreamVM
 	// zoneOutAt is when the command to take the zone out succeeded.
 	drainedAt, zoneOutAt time.Time
+	// endStep records the end of the current step; nil if the step has effect for longer.
+	endStep func()
+	// endPlatformDown and endZoneOut record the ends of steps that a later step ends.
+	endPlatformDown, endZoneOut func()
 }
 
 const (
@@ -70,18 +74,35 @@
 			return nil
 		}
 		x.log(p.text)
-		if err := p.do(ctx); err != nil {
+		x.endStep = x.rec.beginStep(p.text, time.Now())
+		err := p.do(ctx)
+		x.takeEnd()()
+		if err != nil {
 			return fmt.Errorf("%s: %w", p.text, err)
 		}
 	}
 	return nil
 }
 
+// takeEnd returns the function that records the end of the current step. A step whose
+// effect lasts longer than its function takes it and calls it later.
+func (x *script) takeEnd() (end func()) {
+	if end = x.endStep; end == nil {
+		end = func() {}
+	}
+	x.endStep = nil
+	return end
+}
+
 func (x *script) killBalancer(context.Context) error {
 	b := x.s.Balancers()[0]
 	x.s.KillBalancer(b)
 	x.s.SyncFabric(b)
-	time.AfterFunc(fabricUpdateDelay, func() { x.s.SyncFabric() })
+	end := x.takeEnd()
+	time.AfterFunc(fabricUpdateDelay, func() {
+		x.s.SyncFabric()
+		end()
+	})
 	return nil
 }
 
@@ -101,8 +122,10 @@
 
 func (x *script) stopBalancer(context.Context) error {
 	b := x.s.Balancers()[0]
+	end := x.takeEnd()
 	go func() {
 		x.s.StopBalancer(b)
+		end()
 	}()
 	time.AfterFunc(time.Second, func() { x.s.SyncFabric() })
 	return nil
@@ -110,7 +133,11 @@
 
 func (x *script) drain(context.Context) error {
 	x.drained, x.drainedAt = x.s.RunningUpstreams()[0], time.Now()
-	go x.s.StopUpstream(x.drained)
+	end := x.takeEnd()
+	go func() {
+		x.s.StopUpstream(x.drained)
+		end()
+	}()
 	return nil
 }
 
@@ -128,7 +155,9 @@
 	for _, u := range x.s.RunningUpstreams() {
 		u.SwapAnswers(true)
 	}
+	end := x.takeEnd()
 	time.AfterFunc(fabricUpdateDelay, func() {
+		defer end()
 		for _, u := range x.s.RunningUpstreams() {
 			u.SwapAnswers(false)
 		}
@@ -138,11 +167,15 @@
 
 func (x *script) platformDown(context.Context) error {
 	x.s.Platform.SetFaults(standin.Faults{Outage: true})
+	x.endPlatformDown = x.takeEnd()
 	return nil
 }
 
 func (x *script) platformUp(context.Context) error {
 	x.s.Platform.SetFaults(standin.Faults{})
+	if x.endPlatformDown != nil {
+		x.endPlatformDown()
+	}
 	return nil
 }
 
@@ -177,7 +210,7 @@
 const outZone = bundle.ZoneID(2)
 
 func (x *script) zoneOut(ctx context.Context) error {
-	x.moveFrom = time.Now()
+	x.moveFrom, x.endZoneOut = time.Now(), x.takeEnd()
 	x.s.markZoneOut(outZone)
 	a, err := x.s.Bundles.SetZone(ctx, x.s.Deployment.Zones[outZone-1], bundle.ZoneStateOut, "demo", x.s.signingKey)
 	if err != nil {
@@ -209,5 +242,8 @@
 	x.moveTo = time.Now().Add(moveTail)
 	err = x.measureInForce(ctx, a.Version, time.Now())
 	x.s.SyncFabric()
+	if x.endZoneOut != nil {
+		x.endZoneOut()
+	}
 	return err
 }
--- a/standin/fabric.go
+++ b/standin/fabric.go
@@ -38,8 +38,9 @@
 // caller is the fabric's state of one caller.
 type caller struct {
 	conn *net.UDPConn
-	// lastSent is when the caller last sent a datagram, in Unix nanoseconds.
-	lastSent atomic.Int64
+	// mu protects traffic.
+	mu      sync.Mutex
+	traffic CallerTraffic
 	// dropIn and dropOut drop the datagrams to the balancers or to the caller.
 	dropIn, dropOut atomic.Bool
 }
@@ -54,6 +55,33 @@
 	receiveBufferSize = 4 << 20
 )
 
+// CallerTraffic describes the datagrams that the fabric has forwarded for one caller.
+type CallerTraffic struct {
+	// Address is the address from which the balancers receive the caller's datagrams.
+	Address netip.AddrPort
+	// SentTo and ReceivedFrom are the balancers of the last datagrams from and to the
+	// caller. The times are zero if there was none.
+	SentTo, ReceivedFrom   netip.AddrPort
+	LastSent, LastReceived time.Time
+	Sent, Received         uint64
+}
+
+// addSent records a datagram from the caller.
+func (c *caller) addSent(to netip.AddrPort, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.traffic.Sent++
+	c.traffic.SentTo, c.traffic.LastSent = to, now
+}
+
+// addReceived records a datagram to the caller.
+func (c *caller) addReceived(from netip.AddrPort, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.traffic.Received++
+	c.traffic.ReceivedFrom, c.traffic.LastReceived = from, now
+}
+
 // NewFabric returns a fabric without services.
 func NewFabric() *Fabric {
 	return &Fabric{balancers: map[netip.AddrPort][]netip.AddrPort{}, listeners: map[netip.AddrPort]*listener{}}
@@ -92,19 +120,36 @@
 	return t[rand.IntN(len(t))], true
 }
 
-// Silence drops the datagrams of the caller at from: those to the balancers if
-// in is set, those to the caller if out is set. It reports whether the service
-// has such a caller.
-func (f *Fabric) Silence(service, from netip.AddrPort, in, out bool) bool {
+// Traffic returns what the fabric has forwarded for the service's caller at from, and
+// whether the service has such a caller.
+func (f *Fabric) Traffic(service, from netip.AddrPort) (CallerTraffic, bool) {
+	c := f.callerOf(service, from)
+	if c == nil {
+		return CallerTraffic{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.traffic, true
+}
+
+// callerOf returns the state of the service's caller at from, or nil.
+func (f *Fabric) callerOf(service, from netip.AddrPort) *caller {
 	f.mu.Lock()
 	d := f.listeners[service]
 	f.mu.Unlock()
 	if d == nil {
-		return false
+		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.callers[from]
+	return d.callers[from]
+}
+
+// Silence drops the datagrams of the caller at from: those to the balancers if
+// in is set, those to the caller if out is set. It reports whether the service
+// has such a caller.
+func (f *Fabric) Silence(service, from netip.AddrPort, in, out bool) bool {
+	c := f.callerOf(service, from)
 	if c == nil {
 		return false
 	}
@@ -147,7 +192,7 @@
 		if c == nil || !ok || c.dropIn.Load() {
 			continue
 		}
-		c.lastSent.Store(time.Now().UnixNano())
+		c.addSent(to, time.Now())
 		d.f.Forwarded.Add(1)
 		c.conn.WriteToUDPAddrPort(b[:n], to)
 	}
@@ -170,7 +215,9 @@
 	}
 	s.SetReadBuffer(receiveBufferSize)
 	c := &caller{conn: s}
-	c.lastSent.Store(time.Now().UnixNano())
+	if a, ok := s.LocalAddr().(*net.UDPAddr); ok {
+		c.traffic.Address = a.AddrPort()
+	}
 	d.callers[from] = c
 	d.f.wait.Go(func() { d.forwardAnswers(c, from) })
 	return c
@@ -182,7 +229,7 @@
 	b := make([]byte, datagramBufferSize)
 	for {
 		c.conn.SetReadDeadline(time.Now().Add(callerIdleTimeout))
-		n, _, err := c.conn.ReadFromUDPAddrPort(b)
+		n, from, err := c.conn.ReadFromUDPAddrPort(b)
 		if err != nil {
 			break
 		}
@@ -190,6 +237,7 @@
 			continue
 		}
 		d.f.Returned.Add(1)
+		c.addReceived(from, time.Now())
 		d.conn.WriteToUDPAddrPort(b[:n], to)
 	}
 	c.conn.Close()
