Show that silence does not prove the loss of a flow

Cause: callers of an availability zone that loses power wait for their deadlines, and homes in other zones know their flows. Whether homes may reset the flows of agents that are considered gone was not known. Change: simulated upstreams can acknowledge requests, so that callers only wait; zones can lose power or be cut off; callers accept a reset of an open flow only with a number within 76,800 of their last acknowledgement, and of an opening only with the number of that. A balancer's state has agentsGone.

--- a/datagram/observe.go
+++ b/datagram/observe.go
@@ -50,7 +50,9 @@
 	Agents        int            `json:"agents"`
 	AgentsHeard   int            `json:"agentsHeard"`
 	AgentsDoubted int            `json:"agentsDoubted"`
-	Balancers     int            `json:"balancers"`
+	// AgentsGone are those that are considered gone. They may only be cut off.
+	AgentsGone int `json:"agentsGone"`
+	Balancers  int `json:"balancers"`
 	// Watching: this balancer watches the store. WatcherAge is the time since another one that
 	// does was last known to be alive.
 	Watching     bool   `json:"watching"`
@@ -74,6 +76,9 @@
 		if a.class(now, b.zonesOut) == classDoubted {
 			s.AgentsDoubted++
 		}
+		if a.suspicion.since != 0 && !a.mayBeAlive(now) {
+			s.AgentsGone++
+		}
 	}
 	if b.Log != nil {
 		s.LinesLeftOut = b.Log.LeftOut
--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -19,6 +19,7 @@
 	address        datagram.Endpoint // address of the route
 	workload       *workload         // nil: requests follow each other, and all failures are retried
 	stopped        bool              // sends no further requests
+	givesUp        bool              // does not try a request again whose flow was reset
 
 	seq, ack     uint32
 	open         bool          // the flow is established
@@ -26,8 +27,11 @@
 	attempt      int           // number of the current flow
 	requestStart time.Duration // start of the current request
 	waiting      bool          // the current request has no answer yet
+	acknowledged bool          // the upstream has acknowledged it, so the caller only waits
 	retries      int           // retries of the current request
-	outcomes     *outcomes     // where its outcome is counted, if it belongs to a workload
+	// resetAt is when flows were reset, by the number of the flow.
+	resetAt  map[int]time.Duration
+	outcomes *outcomes // where its outcome is counted, if it belongs to a workload
 }
 
 // addCaller adds the n-th caller. It sends its first request within the given pause.
@@ -35,6 +39,7 @@
 	c := &caller{
 		w: w, endpoint: datagram.Endpoint{IP: datagram.IP(0x64400000 + n), Port: 1024}, pause: pause,
 		timeout: time.Second, targetLatency: routeTargetLatency, address: routeAddress,
+		resetAt: map[int]time.Duration{},
 	}
 	w.callers[c.endpoint.IP] = c
 	w.after(time.Duration(w.rng.Int64N(int64(pause))), c.startRequest)
@@ -51,7 +56,7 @@
 		return
 	}
 	c.request++
-	c.requestStart, c.waiting, c.retries = c.w.now, true, 0
+	c.requestStart, c.waiting, c.acknowledged, c.retries = c.w.now, true, false, 0
 	c.w.second(c.requestStart).Begun++
 	if c.w.measureFrom > 0 && c.w.now >= c.w.measureFrom {
 		c.w.measuredStarted++
@@ -92,7 +97,7 @@
 func (c *caller) closeFlow() {
 	delete(c.w.owners, c.flow())
 	delete(c.w.misroutes, c.flow())
-	c.open = false
+	c.open, c.acknowledged = false, false
 	c.attempt++
 }
 
@@ -126,6 +131,10 @@
 	if !c.waiting {
 		return
 	}
+	if c.givesUp {
+		c.endRequest()
+		return
+	}
 	if c.workload != nil && c.retries >= c.workload.retries {
 		c.outcomes.refused++
 		c.w.failed++
@@ -137,13 +146,16 @@
 	c.openFlow()
 }
 
+// requestText is the data of each request.
+const requestText = "GET / HTTP/1.1\r\nX-Request-Id: r\r\n\r\n"
+
 // sendRequest sends request n and repeats it, with a growing delay, until it is
-// answered or the flow is closed.
+// acknowledged or answered or the flow is closed.
 func (c *caller) sendRequest(n, attempt int, retryAfter time.Duration) {
-	if !c.waiting || c.request != n || c.attempt != attempt {
+	if !c.waiting || c.acknowledged || c.request != n || c.attempt != attempt {
 		return
 	}
-	c.w.sendToBalancer(encodePacket(c.endpoint, c.address, flagAck, c.seq+1, c.ack, "GET / HTTP/1.1\r\nX-Request-Id: r\r\n\r\n"), c.flow())
+	c.w.sendToBalancer(encodePacket(c.endpoint, c.address, flagAck, c.seq+1, c.ack, requestText), c.flow())
 	c.w.after(retryAfter, func() { c.sendRequest(n, attempt, min(2*retryAfter, 1600*time.Millisecond)) })
 }
 
@@ -155,16 +167,21 @@
 		return
 	}
 	switch {
+	case p.Reset && !c.acceptsReset(p.Seq):
+		c.w.resetsIgnored++
 	case p.Reset:
 		c.w.resets++
 		if owner := c.w.owners[c.flow()]; c.open && owner != nil && owner.alive {
 			c.w.recordBreach("reset of flow " + c.endpoint.String() + ", which lives")
 		}
+		c.resetAt[c.attempt] = c.w.now
 		c.closeFlow()
 		c.retry()
 	case p.Open && !c.open && c.waiting:
 		c.open, c.ack = true, p.Seq+1
 		c.sendRequest(c.request, c.attempt, 200*time.Millisecond)
+	case p.Length == 0 && c.open && c.waiting && p.AckNumber == c.seq+1+uint32(len(requestText)):
+		c.acknowledged = true
 	case p.Length == len(shedAnswer) && c.open && c.waiting:
 		c.w.shed++
 		c.closeFlow()
@@ -176,6 +193,20 @@
 	}
 }
 
+// resetWindow is how far the number of a reset may be from the caller's last acknowledgement
+// for the reset to end an open flow.
+const resetWindow = 76_800
+
+// acceptsReset reports whether a reset with the number ends the caller's flow. While the flow
+// is not open, the number has to be that of the opening.
+func (c *caller) acceptsReset(seq uint32) bool {
+	if !c.open {
+		return seq == c.seq
+	}
+	d := int32(seq - c.ack)
+	return -resetWindow <= d && d <= resetWindow
+}
+
 // recordAnswer counts an answer that arrived d after its request started.
 func (c *caller) recordAnswer(d time.Duration) {
 	w := c.w
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -30,6 +30,48 @@
 	}
 }
 
+// zoneOfBalancer returns the availability zone of the n-th of the balancers, which are
+// distributed evenly over the given number of zones.
+func zoneOfBalancer(n, zones int) string { return zoneName(n % zones) }
+
+// loseZone stops all processes of an availability zone for d, and its upstreams lose their
+// flows. Each VM then starts within another 0.3 s.
+func (w *simulation) loseZone(zone string, zones int, d time.Duration) {
+	later := func() time.Duration { return d + time.Duration(w.rng.Int64N(int64(300*time.Millisecond))) }
+	for i, v := range w.balancersByAddress() {
+		if zoneOfBalancer(i, zones) == zone {
+			v.stop()
+			w.after(later(), v.start)
+		}
+	}
+	for _, v := range w.agentsByAddress() {
+		if v.zone != zone || v.lost {
+			continue
+		}
+		v.stop()
+		v.u.crash()
+		w.after(later(), func() {
+			if !v.lost && !v.u.alive {
+				v.u.start()
+			}
+			v.start()
+		})
+	}
+}
+
+// cutZone cuts an availability zone off from the others for d. Its processes can still reach
+// each other and callers.
+func (w *simulation) cutZone(zone string, zones int, d time.Duration) {
+	w.partitioned = map[datagram.IP]bool{}
+	for i, v := range w.balancersByAddress() {
+		w.partitioned[v.ip] = zoneOfBalancer(i, zones) == zone
+	}
+	for _, v := range w.agentsByAddress() {
+		w.partitioned[v.ip] = v.zone == zone
+	}
+	w.after(d, func() { w.partitioned = nil })
+}
+
 // killAll stops every balancer and agent process and starts them again after d. Upstreams
 // keep running.
 func (w *simulation) killAll(d time.Duration) {
--- a/experiment/router.go
+++ b/experiment/router.go
@@ -28,6 +28,9 @@
 		if !v.up {
 			return
 		}
+		if w.onReceive != nil {
+			w.onReceive(v.ip, c)
+		}
 		v.receive(classCaller, c, func() { v.b.HandleCaller(withHeadroom(c), w.now-v.startedAt) })
 	})
 }
--- a/experiment/upstream.go
+++ b/experiment/upstream.go
@@ -174,6 +174,9 @@
 		return
 	}
 	u.pending++
+	if w.acknowledges {
+		u.send(encodePacket(p.Flow.Address, p.Flow.Caller, flagAck, h.seq+1, p.Seq+uint32(p.Length), ""))
+	}
 	if len(u.slotFreeAt) == 0 {
 		u.slotFreeAt = make([]time.Duration, u.slots)
 	}
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -77,6 +77,7 @@
 	x := &caller{
 		w: w, endpoint: datagram.Endpoint{IP: datagram.IP(0x64500000 + len(w.callers)), Port: 1024},
 		timeout: l.timeout, targetLatency: l.targetLatency, flowPerRequest: l.flowPerRequest, address: l.address, workload: l,
+		resetAt: map[int]time.Duration{},
 	}
 	w.callers[x.endpoint.IP] = x
 	return x
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -50,7 +50,11 @@
 	storeLatency    time.Duration // latency of the store for processes that start; 0: defaultStoreLatency
 	lastLife        uint64        // number of the latest datagram.Life
 
+	onReceive    func(to datagram.IP, b []byte) // called for what balancers receive; nil: not called
+	acknowledges bool                           // upstreams acknowledge requests at once, so that callers do not repeat them
+
 	answered, late, failed, resets int
+	resetsIgnored                  int // resets whose numbers callers did not accept
 	// measureFrom is the start of a measurement; 0: none. measuredStarted counts the
 	// requests since then, measuredInAim those of its first second that were answered
 	// within the target latency.
@@ -273,6 +277,9 @@
 			a.a.Tick(w.now - a.startedAt) // as the program does after each datagram
 		}
 		if b := w.balancers[to]; b != nil && b.up {
+			if w.onReceive != nil {
+				w.onReceive(to, c)
+			}
 			b.receive(classLink, c, func() { b.b.HandleMessage(from, c, w.now-b.startedAt) })
 		}
 	})
