Tell callers of flows that were lost with their agents

Cause: when an availability zone loses power, callers that only wait for its upstreams send nothing, and nobody tells them before their deadlines. Homes in other zones know their flows. Change: when an agent's next run knows all flows of its upstream and has not registered a flow of the earlier run, the homes of the flow reset it, as soon as both know every agent that may hold it. Silence alone resets nothing. The entry of a flow has the number that a reset needs, in a header field that earlier builds ignore. A few lines in peers.go, balancer.go, registrar.go, flows.go, message.go, log.go and upstream.go.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -64,6 +64,7 @@
 	homes               homeSet
 	directory           directory
 	lookups             lookups
+	lost                lostFlows
 	lastStatus          time.Duration
 	scratch             [2048]byte
 }
@@ -76,6 +77,10 @@
 	// requests to register them again, Located the number of lookups answered for other
 	// balancers.
 	Entries, Resends, Located uint64
+	// LostFlows is the number of flows that were reset because their agent and upstream had
+	// started anew without them, LostAsked how often another home was asked about one, and
+	// LostQuestions the number of messages with these questions.
+	LostFlows, LostAsked, LostQuestions uint64
 }
 
 // flowLocation is the agent that holds a flow, or the attempt to open it.
@@ -108,6 +113,7 @@
 	}
 	b.lookups.byFlow = map[Flow]*lookup{}
 	b.lookups.budget.fill(b.LookupRate)
+	b.lost.budget.fill(lostFlowsShare * b.LookupRate)
 }
 
 // ConfigurationVersion returns the version of the current configuration, or 0 if there is
@@ -289,7 +295,7 @@
 	case KindNotHeld:
 		b.handleNotHeld(from, h, p, now)
 	case KindEntries:
-		b.handleEntries(from, p)
+		b.handleEntries(from, h.Opening, p, now)
 	case KindLocate:
 		b.handleLocate(from, p, now)
 	case KindLocated:
@@ -304,6 +310,7 @@
 	b.retryExpired(now)
 	b.admitUploads(now)
 	b.runLookups(now)
+	b.runLostFlows(now)
 	b.flows.rotate(now)
 	b.directory.expire(now)
 	if now-b.lastStatus >= StatusInterval {
@@ -321,5 +328,8 @@
 	if len(b.lookups.queue) > 0 {
 		at = min(at, b.lookups.next)
 	}
+	if !b.lost.isIdle() {
+		at = min(at, b.lost.next)
+	}
 	return at
 }
--- a/datagram/bench_test.go
+++ b/datagram/bench_test.go
@@ -100,9 +100,9 @@
 		b.Run(fmt.Sprintf("home/%d", n), func(b *testing.B) {
 			for b.Loop() {
 				b.ReportMetric(heapOf(n, func() any {
-					t := newTable[holders](directoryInterval, maxDirectoryFlows)
+					t := newTable[entry](directoryInterval, maxDirectoryFlows)
 					for i := range n {
-						t.set(flow(i), holders{1})
+						t.set(flow(i), entry{holders: holders{1}})
 					}
 					return &t
 				}), "B/flow")
--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -28,7 +28,7 @@
 
 // directory is what a home knows about the locations of flows.
 type directory struct {
-	flows    table[holders]
+	flows    table[entry]
 	trackers map[IP]*entryTracker
 	// droppedAt is when entries were last removed because the table was full. 0 means never.
 	droppedAt time.Duration
@@ -58,7 +58,7 @@
 }
 
 func newDirectory() directory {
-	return directory{flows: newTable[holders](directoryInterval, maxDirectoryFlows), trackers: map[IP]*entryTracker{}}
+	return directory{flows: newTable[entry](directoryInterval, maxDirectoryFlows), trackers: map[IP]*entryTracker{}}
 }
 
 // expire drops entries that agents did not repeat.
@@ -115,8 +115,31 @@
 	maxEntries = 100
 )
 
-// handleEntries adds the flows that an agent registers at this home.
-func (b *Balancer) handleEntries(from IP, p []byte) {
+// entry is what a home knows about a flow. All but the holders are of the latest registration.
+type entry struct {
+	holders
+	// number is what the caller had acknowledged or was about to, and 0 if it is not known. A
+	// reset has to carry a number that is not far from it.
+	number     uint32
+	life       lifeTag // the agent's run
+	registered Millis  // time of arrival since the start of the process
+}
+
+// register updates the entry with a registration. A number of 0 keeps the earlier one.
+func (e *entry) register(from IP, l Life, number uint32, now time.Duration) {
+	if e.holders[0] != from && number == 0 {
+		e.number = 0 // it is another agent's
+	}
+	e.add(from)
+	e.life, e.registered = l.tag(), MillisOf(now)
+	if number != 0 {
+		e.number = number
+	}
+}
+
+// handleEntries adds the flows that an agent registers at this home. The number belongs to the
+// flow if there is only one.
+func (b *Balancer) handleEntries(from IP, number uint32, p []byte, now time.Duration) {
 	var h entriesHeader
 	if _, err := binary.Decode(p, binary.BigEndian, &h); err != nil || (len(p)-entriesHeaderLen)%flowLen != 0 {
 		b.Count.BadMessages++
@@ -130,10 +153,13 @@
 		return
 	}
 	n := h.First
+	if len(p) != entriesHeaderLen+flowLen {
+		number = 0
+	}
 	for p = p[entriesHeaderLen:]; len(p) > 0; p = p[flowLen:] {
 		f, _ := decodeFlow(p)
 		x, _ := b.directory.flows.get(f)
-		x.add(from)
+		x.register(from, h.Life, number, now)
 		b.directory.flows.set(f, x)
 		l.markReceived(n)
 		n++
@@ -245,6 +271,11 @@
 			delete(b.directory.trackers, ip)
 		}
 	}
+	for ip := range b.lost.lives {
+		if b.agents.byIP[ip] == nil {
+			b.lost.forget(ip)
+		}
+	}
 }
 
 // locateResult is a home's answer about one flow.
@@ -272,6 +303,7 @@
 	m = appendIPs(m, c.uncovered)
 	for ; len(p) > 0; p = p[flowLen:] {
 		f, _ := decodeFlow(p)
+		b.noteOtherHomeAsks(from, f)
 		x, _ := b.directory.flows.get(f)
 		n := byte(len(x.list()))
 		if !c.covers(f, b.Self) {
--- a/datagram/directory_test.go
+++ b/datagram/directory_test.go
@@ -201,7 +201,7 @@
 		p := make([]byte, entriesHeaderLen+flowLen)
 		p[7] = byte(life)
 		testFlow(uint16(life)).put(p[entriesHeaderLen:])
-		b.handleEntries(1, p)
+		b.handleEntries(1, 0, p, time.Second)
 	}
 	_, ok := b.directory.flows.get(testFlow(9))
 	_, late := b.directory.flows.get(testFlow(1))
@@ -273,7 +273,7 @@
 	f.Fuzz(func(t *testing.T, p []byte) {
 		b := &Balancer{Self: testSelf}
 		b.Start()
-		b.handleEntries(1, p)
+		b.handleEntries(1, 0, p, time.Second)
 		b.handleLocate(2, p, time.Second)
 	})
 }
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -26,11 +26,13 @@
 	// lookupPending is set while a balancer waits for a report that the flow is here.
 	lookupPending bool
 	// registered is when the flow was last registered at its homes. 0 means never.
-	registered   time.Duration
-	since        time.Duration
-	requestStart time.Duration // when the current request began
-	callerSent   bool          // the caller has sent data, up to sentUpTo
-	sentUpTo     uint32
+	registered time.Duration
+	// registeredNumber is ackNumber as of then.
+	registeredNumber uint32
+	since            time.Duration
+	requestStart     time.Duration // when the current request began
+	callerSent       bool          // the caller has sent data, up to sentUpTo
+	sentUpTo         uint32
 	// ackNumber is what the caller has acknowledged or is about to acknowledge. A reset
 	// carries it.
 	ackNumber uint32
@@ -435,6 +437,7 @@
 	if k.Fin {
 		f.finished = true
 	}
+	a.updateNumber(k.Flow, f, now)
 }
 
 func (a *Agent) removeFlow(f Flow, s *flowState, now time.Duration) {
--- a/datagram/log.go
+++ b/datagram/log.go
@@ -2,7 +2,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"pomeloway.example/pomeloway/events"
@@ -73,6 +75,30 @@
 		slog.Duration("age", now-a.lastSeen), slog.Duration("every", s.Interval.Duration()))
 }
 
+// maxLostReports bounds the lines of one report on lost flows. The loss of an availability zone
+// concerns hundreds of agents.
+const maxLostReports = 20
+
+// lostFlowsReset logs how many flows of each agent were reset and how old the proof is, for up
+// to maxLostReports agents, and the sum over the others.
+func (l *Log) lostFlowsReset(rs map[IP]*lostReport, now time.Duration) {
+	if l == nil || l.Log == nil {
+		return
+	}
+	rest, flows := 0, 0
+	for i, ip := range slices.Sorted(maps.Keys(rs)) {
+		r := rs[ip]
+		if i >= maxLostReports {
+			rest, flows = rest+1, flows+r.flows
+			continue
+		}
+		l.Log.Add(events.LostFlowsReset, slog.String("agent", ip.String()), slog.Int("flows", r.flows), slog.Duration("age", now-r.provedAt))
+	}
+	if rest > 0 {
+		l.Log.Add(events.LostFlowsReset, slog.Int("agents", rest), slog.Int("flows", flows))
+	}
+}
+
 // nearChanged logs the number of near balancers of an agent, of all balancers, and of
 // agents in the fleet.
 func (l *Log) nearChanged(near, balancers, agents int) {
--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -204,6 +204,7 @@
 		return
 	}
 	for _, x := range ls {
+		b.handleLostLocated(from, x, uncovered, now)
 		l := b.lookups.byFlow[x.flow]
 		if l == nil {
 			continue
--- a/datagram/lookup_test.go
+++ b/datagram/lookup_test.go
@@ -90,7 +90,7 @@
 			addPeer(b, 101, now)
 		}, 0, 0, 0},
 		"too many holders": {func(b *Balancer, _ time.Duration) {
-			b.directory.flows.set(testFlow(5), holders{7, 8, 9})
+			b.directory.flows.set(testFlow(5), entry{holders: holders{7, 8, 9}})
 		}, 0, 3, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -68,7 +68,8 @@
 	Budget Budget
 	// Flags are set in openings, in lookups and in the answers to these.
 	Flags Flags
-	// Opening is the number that the balancer gave to this attempt to open a flow.
+	// Opening is the number that the balancer gave to this attempt to open a flow. In a message
+	// with one entry it is the number that a reset of the flow has to carry; 0: not known.
 	Opening uint32
 	Service ServiceKey
 	// Cold is set in openings: the rate limit of new flows for an upstream in cold start.
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -76,6 +76,7 @@
 			a.homes = newHomeSet(ips)
 		}
 		b.checkEntries(from, &a.status, now)
+		b.lost.noteStatus(from, &a.status, b.directory.trackers[from].isComplete(&a.status), now)
 		b.resolveMismatch(from, s.Homes, &a.mismatch, now)
 	}
 }
--- a/datagram/registrar.go
+++ b/datagram/registrar.go
@@ -58,9 +58,18 @@
 
 // register registers the flow at its homes.
 func (a *Agent) register(k Flow, f *flowState, now time.Duration) {
-	f.registered = now
+	f.registered, f.registeredNumber = now, f.ackNumber
 	for _, ip := range a.homesOf(k) {
-		a.sendEntries(ip, []Flow{k})
+		a.sendEntries(ip, f.ackNumber, []Flow{k})
+	}
+}
+
+// updateNumber registers the flow again if the number that its homes know is too old for them
+// to reset it.
+func (a *Agent) updateNumber(k Flow, f *flowState, now time.Duration) {
+	d := int32(f.ackNumber - f.registeredNumber)
+	if (d >= maxNumberLag || d <= -maxNumberLag) && f.registered != 0 && a.needsRegistration(f) {
+		a.register(k, f, now)
 	}
 }
 
@@ -81,8 +90,9 @@
 	return ips
 }
 
-// sendEntries registers flows at a home.
-func (a *Agent) sendEntries(ip IP, ks []Flow) {
+// sendEntries registers flows at a home. number is the number of the flow if there is one flow,
+// or 0. Earlier builds ignore it.
+func (a *Agent) sendEntries(ip IP, number uint32, ks []Flow) {
 	v := a.balancers[ip]
 	if v == nil {
 		return
@@ -95,7 +105,7 @@
 			m = appendFlow(m, k)
 		}
 		v.entries += uint32(len(part))
-		h := Message{Kind: KindEntries, Service: a.Service}
+		h := Message{Kind: KindEntries, Service: a.Service, Opening: number}
 		h.Put(m, a.Keys[0])
 		a.Out.ToProcess(ip, m)
 	}
@@ -115,7 +125,7 @@
 			ks = append(ks, k)
 		}
 	}
-	a.sendEntries(ip, ks)
+	a.sendEntries(ip, 0, ks)
 }
 
 // updateHomes recomputes the home set and registers flows at the balancers that have become
@@ -149,7 +159,7 @@
 		}
 	}
 	for _, ip := range a.homes.ips {
-		a.sendEntries(ip, moved[ip])
+		a.sendEntries(ip, 0, moved[ip])
 		if !slices.Contains(old.ips, ip) {
 			a.sendInitialStatus(ip, now)
 		}
--- a/datagram/upstream.go
+++ b/datagram/upstream.go
@@ -119,16 +119,20 @@
 // A cold upstream fails if it gets more than it can handle. Its limit holds for any second,
 // so the burst is at most the tokens of half a second.
 func (b *tokenBucket) take(rate float64, now time.Duration) bool {
-	burst := max(1, rate/2)
+	if !b.has(rate, now) {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// has reports whether take would succeed.
+func (b *tokenBucket) has(rate float64, now time.Duration) bool {
 	if !b.filled {
 		b.tokens, b.filled = 1, true
 	} else {
-		b.tokens = min(burst, b.tokens+rate*(now-b.at).Seconds())
+		b.tokens = min(max(1, rate/2), b.tokens+rate*(now-b.at).Seconds())
 	}
 	b.at = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+	return b.tokens >= 1
 }
--- a/events/events.go
+++ b/events/events.go
@@ -33,6 +33,7 @@
 	FlowFound            ID = 1110
 	OpeningHeld          ID = 1111
 	UploadWaits          ID = 1112
+	LostFlowsReset       ID = 1115
 	RequestUnderWay      ID = 2201
 	UpstreamChanged      ID = 2202
 	AgentChanged         ID = 3101
@@ -108,6 +109,7 @@
 	{FlowFound, "flow found", slog.LevelInfo},
 	{OpeningHeld, "opening held back at a full upstream", slog.LevelInfo},
 	{UploadWaits, "upload waits for the link", slog.LevelInfo},
+	{LostFlowsReset, "flows of a lost agent reset", slog.LevelWarn},
 	{RequestUnderWay, "request under way", slog.LevelInfo},
 	{UpstreamChanged, "upstream changed", slog.LevelInfo},
 	{AgentChanged, "agent changed", slog.LevelInfo},
