Close flows whose zone goes out during the handshake

An agent took its opening 92 ms before it learned that its zone was out; balancers then dropped the rest of the handshake, and the agent waited for the handshake before closing the flow. Change: the agent waits 0.3 s for the handshake and then closes the flow. The demo counts a remote APPLICATION_ERROR with the flows closed with their zone, as it does resets, while a zone is out; otherwise it is a broken flow or a failed opening as before.

--- a/agent/flows.go
+++ b/agent/flows.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -64,15 +65,24 @@
 	}
 }
 
+// handshakeWait is how long closeFlow waits for a handshake. By then balancers have dropped
+// what callers send to a zone that is out, so most handshakes that are not complete never will be.
+const handshakeWait = 300 * time.Millisecond
+
 // closeFlow closes a flow with a reason. QUIC can't send the reason before the
 // handshake is complete, and the flow would look broken instead of closed on purpose.
-// So closeFlow waits for the handshake.
+// So closeFlow waits for the handshake, but only for a moment: a caller that has completed
+// its side of the handshake would wait for its first answer until its idle timeout.
 func closeFlow(c *quic.Conn, code quic.ApplicationErrorCode, reason string) {
+	t := time.NewTimer(handshakeWait)
+	defer t.Stop()
 	select {
 	case <-c.HandshakeComplete():
-		c.CloseWithError(code, reason)
+	case <-t.C:
 	case <-c.Context().Done():
+		return
 	}
+	c.CloseWithError(code, reason)
 }
 
 func addrPort(a net.Addr) (netip.AddrPort, bool) {
--- a/demo/callers.go
+++ b/demo/callers.go
@@ -103,7 +103,7 @@
 // countOpenFailure counts a flow that could not be opened.
 func (c *caller) countOpenFailure(err error) {
 	var app *quic.ApplicationError
-	if errors.As(err, &app) || wasReset(err) && c.s.isAnyZoneOut() {
+	if errors.As(err, &app) || (wasReset(err) || wasClosedInHandshake(err)) && c.s.isAnyZoneOut() {
 		return // the flow was opened, then closed with a reason
 	}
 	var t *quic.TransportError
--- a/demo/flow.go
+++ b/demo/flow.go
@@ -231,7 +231,7 @@
 		return failureRejected
 	case errors.As(err, &app) && strings.Contains(app.ErrorMessage, "zone out"):
 		return failureZoneOut
-	case wasReset(err) && f.s.isAnyZoneOut():
+	case (wasReset(err) || wasClosedInHandshake(err)) && f.s.isAnyZoneOut():
 		return failureZoneOut // probably opened in a zone that is out, before any answer named its zone
 	case f.s.isZoneOut(bundle.ZoneID(f.zone.Load())), f.s.isZoneOut(bundle.ZoneID(f.upstreamZone.Load())):
 		return failureZoneOut
@@ -252,6 +252,13 @@
 	return errors.As(err, &r)
 }
 
+// wasClosedInHandshake reports whether the agent closed the flow before it had seen the end
+// of the handshake. It can't give a reason then.
+func wasClosedInHandshake(err error) bool {
+	var t *quic.TransportError
+	return errors.As(err, &t) && t.Remote && t.ErrorCode == quic.ApplicationErrorErrorCode
+}
+
 // countFailure counts a failed request in the report.
 func (f *flow) countFailure(x failure, err error, what string) {
 	switch x {
