Test that the log of lost flows is bounded

Cause: nothing showed that the loss of a zone of hundreds of agents writes few lines, which count all resets.

--- a/datagram/lostflows_test.go
+++ b/datagram/lostflows_test.go
@@ -1,11 +1,16 @@
 package datagram
 
 import (
+	"bytes"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"slices"
 	"testing"
 	"time"
+
+	"pomeloway.example/pomeloway/events"
 )
 
 // returnedStatus is a status of a second run of an agent that knows all flows of its upstream.
@@ -343,6 +348,29 @@
 	}
 }
 
+// Guards against a log line for each of the hundreds of agents of an availability zone, and
+// against resets that no line counts.
+func TestLogOfLostFlowsIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	l := &Log{Log: events.NewLog(slog.New(slog.NewJSONHandler(&out, nil)))}
+	rs := map[IP]*lostReport{}
+	for ip := range IP(3 * maxLostReports) {
+		rs[ip+1] = &lostReport{flows: 2, provedAt: time.Second}
+	}
+	l.lostFlowsReset(rs, 2*time.Second)
+	lines, flows := 0, 0
+	for d := json.NewDecoder(&out); d.More(); lines++ {
+		var x struct{ Event, Flows int }
+		if err := d.Decode(&x); err != nil || x.Event != int(events.LostFlowsReset) {
+			t.Fatalf("event %d, error %v", x.Event, err)
+		}
+		flows += x.Flows
+	}
+	if lines != maxLostReports+1 || flows != 6*maxLostReports {
+		t.Errorf("%d lines with %d flows, want %d with %d", lines, flows, maxLostReports+1, 6*maxLostReports)
+	}
+}
+
 // BenchmarkCollectLostFlows measures the pass over a home's directory after the loss of a
 // third of 2,400 upstreams.
 func BenchmarkCollectLostFlows(b *testing.B) {
