--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -205,9 +205,10 @@
 		return
 	}
 	for _, x := range ls {
+		b.handleLostLocated(from, x, uncovered, now)
 		l := b.lookups.byFlow[x.flow]
-		if l == nil {
-			continue
+		if l == nil || len(ls) > 1 {
+			continue // a lookup asks about one flow; only such an answer says whom the home hears
 		}
 		if i := slices.Index(l.homes[:], from); i >= 0 {
 			l.heard = append(l.heard, selectByBits(x.holders, uint32(h.Requests))...)
--- a/datagram/lookup_test.go
+++ b/datagram/lookup_test.go
@@ -90,7 +90,7 @@
 			addPeer(b, 101, now)
 		}, 0, 0, 0},
 		"too many holders": {func(b *Balancer, _ time.Duration) {
-			b.directory.flows.set(testFlow(5), holders{7, 8, 9})
+			b.directory.flows.set(testFlow(5), entry{holders: holders{7, 8, 9}})
 		}, 0, 3, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -168,7 +168,7 @@
 func TestHomeTellsWhomItHears(t *testing.T) {
 	now := 10 * time.Second
 	b, _ := testBalancer(t, 3, now)
-	b.directory.flows.set(testFlow(5), holders{2, 1, 9})
+	b.directory.flows.set(testFlow(5), entry{holders: holders{2, 1, 9}})
 	b.agents.byIP[2].lastSeen = now - time.Minute
 	var got Message
 	b.Out = &headerRecorder{recorder: newRecorder(t), last: &got}
--- a/datagram/observe.go
+++ b/datagram/observe.go
@@ -55,6 +55,8 @@
 	AgentsDoubted int            `json:"agentsDoubted"`
 	// AgentsSlow is the number of agents whose upstreams are slower than the mean.
 	AgentsSlow int `json:"agentsSlow"`
+	// AgentsGone are those that are considered gone. They may only be cut off.
+	AgentsGone int `json:"agentsGone"`
 	Balancers  int `json:"balancers"`
 	// Watching: this balancer watches the store. WatcherAge is the time since another one that
 	// does was last known to be alive.
@@ -82,6 +84,9 @@
 		if a.slow {
 			s.AgentsSlow++
 		}
+		if a.suspicion.since != 0 && !a.mayBeAlive(now) {
+			s.AgentsGone++
+		}
 	}
 	if b.Log != nil {
 		s.LinesLeftOut = b.Log.LeftOut
