--- /dev/null
+++ b/soak/excuses.go
@@ -0,0 +1,88 @@
+package main
+
+import "slices"
+
+// Check is a promise that is checked while a site runs.
+type Check string
+
+// Checks.
+const (
+	checkReset         Check = "flowReset"     // a flow was reset although its upstream lives
+	checkAstray        Check = "flowAstray"    // its packets reach other upstreams only
+	checkSilent        Check = "flowSilent"    // its packets are lost
+	checkService       Check = "wrongService"  // a packet reached an upstream of another service
+	checkOnce          Check = "ranTwice"      // an urgent request ran more than once
+	checkCold          Check = "coldRate"      // a cold upstream got more than its rate
+	checkDrained       Check = "drained"       // an opening reached an upstream that drains
+	checkEvacuated     Check = "evacuated"     // an opening reached an evacuated zone
+	checkConfiguration Check = "configuration" // a version is not in force in time
+	checkInForce       Check = "inForce"       // its routes are refused
+	checkOrder         Check = "versionOrder"  // a balancer went back to an earlier version
+	checkRecovery      Check = "recovery"      // callers are not served after the last fault
+	checkExit          Check = "exit"          // a process ended by itself
+)
+
+// scope is whose faults excuse a process.
+type scope uint8
+
+const (
+	ofPath      scope = iota // of the balancers and the agent that the flow used
+	ofBalancers              // of any balancer, or of all processes
+	ofAny
+)
+
+// excuse says that the time of a fault, and some seconds after it, does not count for a check.
+type excuse struct {
+	check  Check
+	kinds  []Kind
+	scope  scope
+	reason string
+}
+
+var (
+	// storeKinds are faults of the store.
+	storeKinds = []Kind{kindDown, kindSlow, kindLose, kindRewound, kindStale, kindMute, kindReset}
+	// haltKinds are faults in which a process does nothing, or starts without memory.
+	haltKinds = []Kind{kindStop, kindKill, kindTerm}
+	// linkKinds are faults in which datagrams of a process are lost or late.
+	linkKinds = []Kind{kindDelay, kindDrop, kindCutIn, kindCutOut, kindSilence, kindRate}
+	// loadKinds are loads that upstreams can't bear.
+	loadKinds = []Kind{kindOverload, kindLoud, kindLaggard}
+)
+
+// excuses are all there are. A check without an entry is never excused: resets of flows that
+// live, services, requests that run twice, cold starts, drains, the order of versions and the
+// recovery depend on no process that may be impaired, or are measured without faults.
+var excuses = []excuse{
+	{checkAstray, slices.Concat(haltKinds, linkKinds), ofPath,
+		"the owner's agent or the flow's balancer does nothing or can't be reached, so others are asked for the flow"},
+	{checkSilent, slices.Concat(haltKinds, linkKinds, loadKinds), ofAny,
+		"the balancer or the agent on the way may change with every packet, and requests may wait for as long as a load lasts"},
+	{checkEvacuated, storeKinds, ofBalancers,
+		"balancers learn of an evacuation from the store only; callers can't see which of them watches it"},
+	{checkEvacuated, slices.Concat(haltKinds, linkKinds), ofPath,
+		"the balancer or the agent could not be told"},
+	{checkConfiguration, storeKinds, ofBalancers,
+		"balancers learn of a configuration from the store only; callers can't see which of them watches it"},
+	{checkConfiguration, slices.Concat(haltKinds, linkKinds), ofPath,
+		"the balancer could not be told"},
+	{checkInForce, slices.Concat(storeKinds, haltKinds, linkKinds, loadKinds, lifeKinds, []Kind{kindEvacuate}), ofAny,
+		"balancers refuse openings also while upstreams are missing or full, and callers can't tell why"},
+}
+
+// aftermath is how long after its end a fault still counts.
+const aftermath = 4 // seconds
+
+// covers reports whether the fault excuses the parties.
+func (x *excuse) covers(f Fault, parties []*process) bool {
+	if !slices.Contains(x.kinds, f.Kind) {
+		return false
+	}
+	switch x.scope {
+	case ofAny:
+		return true
+	case ofBalancers:
+		return f.Target == all || f.Target[0] == 'b'
+	}
+	return f.Target == all || slices.ContainsFunc(parties, func(p *process) bool { return p.name == f.Target })
+}
