--- a/soak/checks.go
+++ b/soak/checks.go
@@ -14,6 +14,7 @@
 	drainBound         = 3 * time.Second // from the acknowledged announcement on
 	evacuationBound    = 5 * time.Second // from the acknowledged evacuation on
 	configurationBound = 3 * time.Second // from the acknowledged configuration on
+	silentBound        = 4 * time.Second // for the answer to a request on an open flow, which is repeated
 	astrayPackets      = 3               // that reach other upstreams only, over astrayTime
 	astrayTime         = 2 * time.Second
 	// A cold upstream may get its rate times coldShare and coldExtra openings in a second.
@@ -27,6 +28,26 @@
 	begin, end time.Time // end is zero while it lasts
 }
 
+// excused returns the part of the time that the excuse takes. Without an end it lasts.
+func (s *span) excused(e *excuse) span {
+	x := span{begin: s.begin.Add(e.after), end: time.Now().Add(time.Hour)}
+	if !s.end.IsZero() {
+		x.end = s.end.Add(e.until)
+	}
+	if s.lasting() < e.after {
+		x.end = x.begin
+	}
+	return x
+}
+
+// lasting returns how long the fault has lasted.
+func (s *span) lasting() time.Duration {
+	if s.end.IsZero() {
+		return time.Since(s.begin)
+	}
+	return s.end.Sub(s.begin)
+}
+
 // checks collects what went wrong. The lock of the site guards it.
 type checks struct {
 	seed     Seed
@@ -37,6 +58,7 @@
 	stalls   []stall
 	breaches []string
 	seen     map[string]bool
+	excused  map[Check]int // how often a check would have failed without its excuses
 }
 
 // stall is how long processes had to wait for a processor until a time.
@@ -56,7 +78,7 @@
 func (k *checks) active(at time.Time) string {
 	var out []string
 	for _, s := range k.spans {
-		if s.end.IsZero() || at.Sub(s.end) < aftermath*time.Second {
+		if s.end.IsZero() || at.Sub(s.end) < aftermath {
 			out = append(out, strings.TrimSpace(s.fault.String()))
 		}
 	}
@@ -92,14 +114,11 @@
 func (k *checks) able(c Check, from, to time.Time, parties ...*process) time.Duration {
 	var covered []span
 	for _, s := range k.spans {
-		if !slices.ContainsFunc(excuses, func(x excuse) bool { return x.check == c && x.covers(s.fault, parties) }) {
-			continue
+		for _, e := range excuses {
+			if e.check == c && e.covers(s.fault, parties) {
+				covered = append(covered, s.excused(&e))
+			}
 		}
-		x := span{begin: s.begin, end: to}
-		if !s.end.IsZero() {
-			x.end = s.end.Add(aftermath * time.Second)
-		}
-		covered = append(covered, x)
 	}
 	slices.SortFunc(covered, func(a, b span) int { return a.begin.Compare(b.begin) })
 	free, at := time.Duration(0), from
@@ -117,7 +136,23 @@
 	if to.After(at) {
 		free += to.Sub(at)
 	}
-	return free - k.stalled(from, to)
+	if c == checkReset {
+		return free // no wait for a processor excuses a reset
+	}
+	return max(0, free-k.stalled(from, to))
+}
+
+// late reports whether the parties were able to keep the promise for longer than the bound. It
+// counts the times that only excuses make the difference.
+func (k *checks) late(c Check, from, to time.Time, bound time.Duration, parties ...*process) bool {
+	if to.Sub(from) <= bound {
+		return false
+	}
+	if k.able(c, from, to, parties...) > bound {
+		return true
+	}
+	k.excused[c]++
+	return false
 }
 
 // parties returns the processes through which the flow's opening went.
@@ -147,7 +182,7 @@
 	if !u.drainAckedAt.IsZero() && at.Sub(u.drainAckedAt) > drainBound {
 		s.checks.breach(checkDrained, name, "an opening reached %s %.2fs after it was acknowledged that it drains", u.vm.name, at.Sub(u.drainAckedAt).Seconds())
 	}
-	if out, ok := s.zonesOut[u.vm.zone]; ok && s.checks.able(checkEvacuated, out, at, f.parties(u)...) > evacuationBound {
+	if out, ok := s.zonesOut[u.vm.zone]; ok && s.checks.late(checkEvacuated, out, at, evacuationBound, f.parties(u)...) {
 		s.checks.breach(checkEvacuated, name, "an opening through %s reached %s %.2fs after the evacuation of its zone", f.via[0].p.name, u.vm.name, at.Sub(out).Seconds())
 	}
 	s.checkCold(u, at, name)
@@ -193,7 +228,7 @@
 		s.checks.breach(checkService, name, "no version routes %v to service %s of %s", a, u.vm.service, u.vm.name)
 		return
 	}
-	if next := s.acceptedAt[v+1]; !next.IsZero() && s.checks.able(checkConfiguration, next, f.openedAt, f.parties(u)...) > configurationBound {
+	if next := s.acceptedAt[v+1]; !next.IsZero() && s.checks.late(checkConfiguration, next, f.openedAt, configurationBound, f.parties(u)...) {
 		s.checks.breach(checkConfiguration, name, "%s routed %v by version %d, %.2fs after version %d was acknowledged", f.via[0].p.name, a, v, f.openedAt.Sub(next).Seconds(), v+1)
 	}
 	if a != versionAddress(v) || slices.ContainsFunc(f.via, func(r processRun) bool { return r != f.via[0] }) || f.via[0].p.lifeNow() != f.via[0].life {
@@ -215,7 +250,8 @@
 
 // checkReset checks a reset that a caller got.
 func (s *site) checkReset(f *flow, from *process) {
-	if f.open && f.ownerLives() {
+	now := time.Now()
+	if f.open && f.ownerLives() && s.checks.late(checkReset, now.Add(-time.Millisecond), now, 0, f.owner.vm) {
 		s.checks.breach(checkReset, f.key.Caller.String(), "reset by %s although %s holds it", from.name, f.owner.vm.name)
 	}
 }
@@ -223,7 +259,7 @@
 // checkRefused checks a refusal of an opening at the address of the latest version.
 func (s *site) checkRefused(f *flow) {
 	v := s.operator.version
-	if f.key.Address == versionAddress(v) && s.checks.able(checkInForce, s.acceptedAt[v], f.openedAt) > configurationBound {
+	if f.key.Address == versionAddress(v) && s.checks.late(checkInForce, s.acceptedAt[v], f.openedAt, configurationBound) {
 		s.checks.breach(checkInForce, f.key.Caller.String(), "%s refused %v, %.2fs after version %d was acknowledged", f.via[0].p.name, f.key.Address, f.openedAt.Sub(s.acceptedAt[v]).Seconds(), v)
 	}
 }
@@ -244,7 +280,7 @@
 	if f.astray++; f.astray == 1 {
 		f.astrayAt = at
 	}
-	if f.astray >= astrayPackets && s.checks.able(checkAstray, f.astrayAt, at, f.parties(f.owner)...) >= astrayTime {
+	if f.astray >= astrayPackets && s.checks.late(checkAstray, f.astrayAt, at, astrayTime, f.parties(f.owner)...) {
 		s.checks.breach(checkAstray, k.Caller.String(), "%d packets reached %s and others, but not %s, which holds it", f.astray, u.vm.name, f.owner.vm.name)
 	}
 }
@@ -252,7 +288,7 @@
 // checkLost checks a feed that got no answer on its open flow for long.
 func (s *site) checkLost(r *request) {
 	f := r.flow
-	if f.open && f.ownerLives() && s.checks.able(checkSilent, r.started, time.Now()) > feedPatience*2/3 {
+	if f.open && f.ownerLives() && s.checks.late(checkSilent, r.started, time.Now(), silentBound) {
 		s.checks.breach(checkSilent, f.key.Caller.String(), "request %s on an open flow at %s got no answer for %v", r.id, f.owner.vm.name, time.Since(r.started))
 	}
 }
--- a/soak/excuses.go
+++ b/soak/excuses.go
@@ -1,6 +1,9 @@
 package main
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Check is a promise that is checked while a site runs.
 type Check string
@@ -36,6 +39,8 @@
 	check  Check
 	kinds  []Kind
 	scope  scope
+	after  time.Duration // the time of a fault counts from this time after its begin on
+	until  time.Duration // and up to this time after its end
 	reason string
 }
 
@@ -44,35 +49,43 @@
 	storeKinds = []Kind{kindDown, kindSlow, kindLose, kindRewound, kindStale, kindMute, kindReset}
 	// haltKinds are faults in which a process does nothing, or starts without memory.
 	haltKinds = []Kind{kindStop, kindKill, kindTerm}
+	// muteKinds are faults in which a process answers nobody.
+	muteKinds = slices.Concat(haltKinds, []Kind{kindSilence, kindCutIn, kindCutOut})
 	// linkKinds are faults in which datagrams of a process are lost or late.
 	linkKinds = []Kind{kindDelay, kindDrop, kindCutIn, kindCutOut, kindSilence, kindRate}
 	// loadKinds are loads that upstreams can't bear.
 	loadKinds = []Kind{kindOverload, kindLoud, kindLaggard}
 )
 
-// excuses are all there are. A check without an entry is never excused: resets of flows that
-// live, services, requests that run twice, cold starts, drains, the order of versions and the
-// recovery depend on no process that may be impaired, or are measured without faults.
+// aftermath is how long after its end a fault still counts, if nothing narrower is said.
+const aftermath = 4 * time.Second
+
+// deathTime is how long an agent answers nobody until balancers consider it gone: they suspect
+// it after 850 ms and ask it five times, 250 ms apart (datagram/suspicion.go).
+const deathTime = 2 * time.Second
+
+// excuses are all there are. A check without an entry is never excused: services, requests
+// that run twice, cold starts, drains, the order of versions and the recovery depend on no
+// process that may be impaired, or are measured without faults.
 var excuses = []excuse{
-	{checkAstray, slices.Concat(haltKinds, linkKinds), ofPath,
+	{checkReset, muteKinds, ofPath, deathTime, 1500 * time.Millisecond,
+		"balancers can't tell an agent that answers nobody for this long from a dead one (docs/DATAGRAM.md, not solved)"},
+	{checkAstray, slices.Concat(haltKinds, linkKinds), ofPath, 0, aftermath,
 		"the owner's agent or the flow's balancer does nothing or can't be reached, so others are asked for the flow"},
-	{checkSilent, slices.Concat(haltKinds, linkKinds, loadKinds), ofAny,
+	{checkSilent, slices.Concat(haltKinds, linkKinds, loadKinds), ofAny, 0, aftermath,
 		"the balancer or the agent on the way may change with every packet, and requests may wait for as long as a load lasts"},
-	{checkEvacuated, storeKinds, ofBalancers,
+	{checkEvacuated, storeKinds, ofBalancers, 0, aftermath,
 		"balancers learn of an evacuation from the store only; callers can't see which of them watches it"},
-	{checkEvacuated, slices.Concat(haltKinds, linkKinds), ofPath,
+	{checkEvacuated, slices.Concat(haltKinds, linkKinds), ofPath, 0, aftermath,
 		"the balancer or the agent could not be told"},
-	{checkConfiguration, storeKinds, ofBalancers,
+	{checkConfiguration, storeKinds, ofBalancers, 0, aftermath,
 		"balancers learn of a configuration from the store only; callers can't see which of them watches it"},
-	{checkConfiguration, slices.Concat(haltKinds, linkKinds), ofPath,
+	{checkConfiguration, slices.Concat(haltKinds, linkKinds), ofPath, 0, aftermath,
 		"the balancer could not be told"},
-	{checkInForce, slices.Concat(storeKinds, haltKinds, linkKinds, loadKinds, lifeKinds, []Kind{kindEvacuate}), ofAny,
+	{checkInForce, slices.Concat(storeKinds, haltKinds, linkKinds, loadKinds, lifeKinds, []Kind{kindEvacuate}), ofAny, 0, aftermath,
 		"balancers refuse openings also while upstreams are missing or full, and callers can't tell why"},
 }
 
-// aftermath is how long after its end a fault still counts.
-const aftermath = 4 // seconds
-
 // covers reports whether the fault excuses the parties.
 func (x *excuse) covers(f Fault, parties []*process) bool {
 	if !slices.Contains(x.kinds, f.Kind) {
--- a/soak/main.go
+++ b/soak/main.go
@@ -29,6 +29,7 @@
 	Jobs      int           `help:"Number of seeds played at the same time." default:"1"`
 	Keep      string        `help:"Directory for the logs of failed seeds; without it they stay in a temporary directory." type:"path" placeholder:"DIR"`
 	Program   string        `help:"Program to test; without it, the one of this source tree is built." type:"existingfile" placeholder:"FILE"`
+	Case      string        `help:"Play the case in the file, whatever the seed." type:"existingfile" placeholder:"FILE"`
 	Plan      bool          `help:"Print the plans and play nothing."`
 }
 
@@ -73,10 +74,13 @@
 
 // run plays all seeds and prints what they gave.
 func (o *options) run(ctx context.Context, w io.Writer) error {
-	sh := shape{o.Balancers, o.Agents}
+	cs, err := o.scenarios()
+	if err != nil {
+		return err
+	}
 	if o.Plan {
-		for i := range o.Seeds {
-			printPlan(w, o.From+Seed(i), newPlan(o.From+Seed(i), o.Length, sh))
+		for _, c := range cs {
+			fmt.Fprint(w, c)
 		}
 		return nil
 	}
@@ -90,43 +94,42 @@
 			return err
 		}
 	}
-	failed, err := o.playAll(ctx, w, sh, binary, tmp)
+	failed, err := o.playAll(ctx, w, cs, binary, tmp)
 	switch {
 	case err != nil:
 		return err
 	case failed > 0:
-		return eris.Wrapf(errFailed, "%d of %d seeds", failed, o.Seeds)
+		return eris.Wrapf(errFailed, "%d of %d seeds", failed, len(cs))
 	}
 	return os.RemoveAll(tmp)
 }
 
 // playAll plays the seeds, some at the same time, and returns how many failed.
-func (o *options) playAll(ctx context.Context, w io.Writer, sh shape, binary, tmp string) (failed int, _ error) {
+func (o *options) playAll(ctx context.Context, w io.Writer, cs []*scenario, binary, tmp string) (failed int, _ error) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var errs []error
 	slots := make(chan struct{}, o.Jobs)
-	for i := range o.Seeds {
+	for _, c := range cs {
 		slots <- struct{}{}
 		if ctx.Err() != nil {
 			break
 		}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			seed := o.From + Seed(i)
-			dir, err := o.directory(tmp, seed)
+			dir, err := o.directory(tmp, c)
 			if err != nil {
 				mu.Lock()
 				defer mu.Unlock()
 				errs = append(errs, err)
 				return
 			}
-			r, err := play(ctx, seed, newPlan(seed, o.Length, sh), sh, binary, dir)
+			r, err := play(ctx, c, binary, dir)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
 			case err != nil:
-				errs = append(errs, eris.Wrapf(err, "seed %d, logs: %s", seed, dir))
+				errs = append(errs, eris.Wrapf(err, "seed %d, logs: %s", c.Seed, dir))
 			case len(r.breaches) > 0:
 				failed++
 			default:
@@ -139,20 +142,29 @@
 	return failed, errors.Join(errs...)
 }
 
-// directory creates the directory of a seed's logs.
-func (o *options) directory(tmp string, seed Seed) (string, error) {
+// directory creates the directory of the logs of a run, and writes down what it plays.
+func (o *options) directory(tmp string, c *scenario) (string, error) {
 	if o.Keep != "" {
 		tmp = o.Keep
 	}
-	dir := filepath.Join(tmp, fmt.Sprintf("seed-%d", seed))
-	return dir, os.MkdirAll(dir, 0o755)
+	dir := filepath.Join(tmp, fmt.Sprintf("seed-%d", c.Seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return "", err
+	}
+	return dir, os.WriteFile(filepath.Join(dir, "case.txt"), []byte(c.String()), 0o644)
 }
 
-func printPlan(w io.Writer, seed Seed, fs []Fault) {
-	fmt.Fprintf(w, "seed %d\n", seed)
-	for _, f := range fs {
-		fmt.Fprintf(w, "  %s\n", f)
+// scenarios returns what is to be played.
+func (o *options) scenarios() ([]*scenario, error) {
+	if o.Case != "" {
+		c, err := readScenario(o.Case)
+		return []*scenario{c}, err
+	}
+	var out []*scenario
+	for i := range o.Seeds {
+		out = append(out, newScenario(o.From+Seed(i), o.Length, shape{o.Balancers, o.Agents}))
 	}
+	return out, nil
 }
 
 func (r *result) print(w io.Writer) {
@@ -160,8 +172,8 @@
 	if len(r.breaches) > 0 {
 		state = "FAILED"
 	}
-	fmt.Fprintf(w, "seed %d %s: %d requests, served again %.1fs after the last fault, processes waited %.1fs for processors\n",
-		r.seed, state, r.requests, r.recovered.Seconds(), r.stalled.Seconds())
+	fmt.Fprintf(w, "seed %d %s: %d requests, served again %.1fs after the last fault, processes waited %.1fs for processors, excused %v\n",
+		r.seed, state, r.requests, r.recovered.Seconds(), r.stalled.Seconds(), r.excused)
 	for _, b := range r.breaches {
 		fmt.Fprintln(w, "  "+b)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -56,17 +56,23 @@
 	Target  string
 }
 
+// grain is the precision of times in plans, so that their text has them in full.
+const grain = 10 * time.Millisecond
+
 func (f Fault) String() string {
 	return fmt.Sprintf("%6.2fs to %6.2fs %s %s", f.At.Seconds(), (f.At + f.For).Seconds(), f.Kind, f.Target)
 }
 
-// draws lists how often a kind is drawn, for how long, and what its targets are.
-var draws = []struct {
+// kindDraw is how often a kind is drawn, for how long, and what its targets are.
+type kindDraw struct {
 	kind     Kind
 	weight   int
 	min, max time.Duration
 	targets  func(*shape) []string
-}{
+}
+
+// draws has every kind.
+var draws = []kindDraw{
 	{kindStop, 4, 200 * time.Millisecond, 5 * time.Second, (*shape).processes},
 	{kindKill, 5, 100 * time.Millisecond, 4 * time.Second, (*shape).processes},
 	{kindTerm, 4, 300 * time.Millisecond, 4 * time.Second, (*shape).processes},
@@ -156,6 +162,7 @@
 	ts := d.targets(s)
 	f := Fault{At: at, Kind: d.kind, Target: ts[r.IntN(len(ts))]}
 	f.For = min(d.min+time.Duration(r.Int64N(int64(d.max-d.min))), length-at)
+	f.At, f.For = f.At.Truncate(grain), f.For.Truncate(grain)
 	return f
 }
 
--- a/soak/play.go
+++ b/soak/play.go
@@ -31,37 +31,42 @@
 	requests  int
 	recovered time.Duration // after the last fault; negative if not
 	stalled   time.Duration
+	excused   map[Check]int
+	pids      []int // of all programs that were started
 }
 
 // play starts a site, runs the plan and checks the promises.
-func play(ctx context.Context, seed Seed, plan []Fault, sh shape, binary, dir string) (result, error) {
-	s, err := newSite(sh, binary, dir, seed)
-	defer s.close()
+func play(ctx context.Context, c *scenario, binary, dir string) (r result, err error) {
+	r = result{seed: c.Seed, recovered: -1}
+	s, err := newSite(c.Shape, binary, dir, c.Seed)
+	defer func() {
+		s.close()
+		for _, p := range s.processes {
+			r.pids = append(r.pids, p.pids...)
+		}
+	}()
 	if err != nil {
-		return result{seed: seed}, err
+		return r, err
 	}
-	r := result{seed: seed, recovered: -1}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var g run.Group
 	duty := func(f func(context.Context)) {
 		g.Add(func() error { f(ctx); return nil }, func(error) { stop() })
 	}
-	for _, p := range s.processes[:sh.Balancers] {
+	for _, p := range s.processes[:c.Shape.Balancers] {
 		duty(func(ctx context.Context) { s.probe(ctx, p) })
 	}
 	duty(s.watchStalls)
-	g.Add(func() error { return s.script(ctx, plan, &r) }, func(error) { stop() })
+	g.Add(func() error { return s.script(ctx, c.Faults, &r) }, func(error) { stop() })
 	err = g.Run()
 	s.locked(func() {
 		for _, p := range s.processes {
-			p.mu.Lock()
-			for _, x := range p.unasked {
+			for _, x := range p.endedUnasked() {
 				s.checks.breach(checkExit, x, "%s", x)
 			}
-			p.mu.Unlock()
 		}
-		r.breaches, r.requests = s.checks.breaches, s.requests
+		r.breaches, r.requests, r.excused = s.checks.breaches, s.requests, s.checks.excused
 		r.stalled = s.checks.stalled(s.checks.start, time.Now())
 	})
 	return r, err
@@ -140,6 +145,11 @@
 	for end := time.Now().Add(startLimit); time.Now().Before(end); {
 		var ok bool
 		s.locked(func() { ok = f() })
+		for _, p := range s.processes {
+			if x := p.endedUnasked(); len(x) > 0 {
+				return eris.Errorf("%s, log: %s", x[0], p.log)
+			}
+		}
 		if ok {
 			return nil
 		}
--- a/soak/process.go
+++ b/soak/process.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -68,6 +69,7 @@
 	ended chan struct{} // closed when cmd has ended
 	asked bool          // cmd was asked to end
 	life  int           // number of starts
+	pids  []int         // of all starts
 	// unasked has the ends that no fault explains.
 	unasked []string
 }
@@ -91,6 +93,7 @@
 	}
 	p.cmd, p.ended, p.asked = c, make(chan struct{}), false
 	p.life++
+	p.pids = append(p.pids, c.Process.Pid)
 	go p.wait(c, p.ended)
 	return nil
 }
@@ -137,6 +140,13 @@
 	}
 }
 
+// endedUnasked returns the ends that no fault explains.
+func (p *process) endedUnasked() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.unasked)
+}
+
 // lifeNow returns the number of starts so far.
 func (p *process) lifeNow() int {
 	p.mu.Lock()
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -155,7 +155,7 @@
 		}
 		body, _ := json.Marshal(map[string]any{
 			"service": u.vm.service, "address": netip.AddrPortFrom(u.vm.ip, u.s.ports.app).String(), "slots": upstreamSlots,
-			"state": state, "sequence": u.sequence, "born": u.born, "cold-remaining-ms": max(0, time.Until(u.coldUntil).Milliseconds()),
+			"state": state, "sequence": u.sequence, "born": u.born, "cold-remaining-ms": max(0, time.Until(u.coldUntil).Seconds()*1000),
 		})
 		u.s.mu.Unlock()
 		pause := heartbeatRetry
