Concentrate the soak's faults and narrow its excuses

Change: half of the faults concern a balancer and an agent in focus, agents can be cut off from one balancer, stale reads show the store before the last change, and evacuations are excused only by faults of the agent or of the store for all.

--- a/soak/excuses.go
+++ b/soak/excuses.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -29,8 +30,9 @@
 type scope uint8
 
 const (
-	ofPath      scope = iota // of the balancers and the agent that the flow used
-	ofBalancers              // of any balancer, or of all processes
+	ofPath  scope = iota // of the balancers and the agent that the flow used
+	ofAgent              // of the agent alone
+	ofAll                // that concern all processes
 	ofAny
 )
 
@@ -52,7 +54,7 @@
 	// muteKinds are faults in which a process answers nobody.
 	muteKinds = slices.Concat(haltKinds, []Kind{kindSilence, kindCutIn, kindCutOut})
 	// linkKinds are faults in which datagrams of a process are lost or late.
-	linkKinds = []Kind{kindDelay, kindDrop, kindCutIn, kindCutOut, kindSilence, kindRate}
+	linkKinds = []Kind{kindDelay, kindDrop, kindCutIn, kindCutOut, kindSilence, kindRate, kindPair}
 	// loadKinds are loads that upstreams can't bear.
 	loadKinds = []Kind{kindOverload, kindLoud, kindLaggard}
 )
@@ -74,12 +76,12 @@
 		"the owner's agent or the flow's balancer does nothing or can't be reached, so others are asked for the flow"},
 	{checkSilent, slices.Concat(haltKinds, linkKinds, loadKinds), ofAny, 0, aftermath,
 		"the balancer or the agent on the way may change with every packet, and requests may wait for as long as a load lasts"},
-	{checkEvacuated, storeKinds, ofBalancers, 0, aftermath,
-		"balancers learn of an evacuation from the store only; callers can't see which of them watches it"},
-	{checkEvacuated, slices.Concat(haltKinds, linkKinds), ofPath, 0, aftermath,
-		"the balancer or the agent could not be told"},
-	{checkConfiguration, storeKinds, ofBalancers, 0, aftermath,
-		"balancers learn of a configuration from the store only; callers can't see which of them watches it"},
+	{checkEvacuated, storeKinds, ofAll, 0, aftermath,
+		"balancers learn of an evacuation from the store only; with faults of some, the others tell all agents"},
+	{checkEvacuated, slices.Concat(haltKinds, linkKinds), ofAgent, 0, aftermath,
+		"the agent, which refuses whatever balancers know, could not be told"},
+	{checkConfiguration, storeKinds, ofPath, 0, aftermath,
+		"the balancer learns of a configuration from the store, or later from another balancer"},
 	{checkConfiguration, slices.Concat(haltKinds, linkKinds), ofPath, 0, aftermath,
 		"the balancer could not be told"},
 	{checkInForce, slices.Concat(storeKinds, haltKinds, linkKinds, loadKinds, lifeKinds, []Kind{kindEvacuate}), ofAny, 0, aftermath,
@@ -94,8 +96,10 @@
 	switch x.scope {
 	case ofAny:
 		return true
-	case ofBalancers:
-		return f.Target == all || f.Target[0] == 'b'
+	case ofAll:
+		return f.Target == all
 	}
-	return f.Target == all || slices.ContainsFunc(parties, func(p *process) bool { return p.name == f.Target })
+	return f.Target == all || slices.ContainsFunc(parties, func(p *process) bool {
+		return (x.scope == ofPath || p.role == roleAgent) && slices.Contains(strings.Split(f.Target, pairSeparator), p.name)
+	})
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"net/netip"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -33,6 +35,11 @@
 		return p.impair(f, impairment{drop: 1}, false, true)
 	case kindSilence:
 		return p.impair(f, impairment{drop: 1}, true, true)
+	case kindPair:
+		a, b, _ := strings.Cut(f.Target, pairSeparator)
+		w := s.mesh.pairs[[2]netip.Addr{s.byName[a].ip, s.byName[b].ip}]
+		w.add(f, impairment{drop: 1})
+		return func() error { w.remove(f); return nil }, nil
 	case kindRewound:
 		s.platform.DropHistory()
 		return func() error { return nil }, nil
@@ -65,9 +72,11 @@
 // beginStore puts a fault of the store into effect, for one process or all.
 func (s *site) beginStore(f Fault) (end func() error, err error) {
 	var ps []*process
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, p := range s.processes {
 		if f.Target == all || f.Target == p.name {
-			p.store.begin(f)
+			p.store.begin(f, s.operator.before)
 			ps = append(ps, p)
 		}
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -30,6 +30,7 @@
 	kindCutOut   Kind = "cutOut"    // none leaves it
 	kindSilence  Kind = "silence"   // both
 	kindRate     Kind = "rate"      // its link is slow
+	kindPair     Kind = "cutPair"   // none arrives at a balancer from an agent
 	kindDown     Kind = "storeDown" // the store answers with errors
 	kindSlow     Kind = "storeSlow"
 	kindLose     Kind = "storeLosesAnswers"
@@ -83,18 +84,19 @@
 	{kindCutOut, 2, 500 * time.Millisecond, 5 * time.Second, (*shape).processes},
 	{kindSilence, 2, 500 * time.Millisecond, 7 * time.Second, (*shape).processes},
 	{kindRate, 1, time.Second, 4 * time.Second, (*shape).processes},
+	{kindPair, 4, 3 * time.Second, 9 * time.Second, (*shape).pairs},
 	{kindDown, 2, time.Second, 5 * time.Second, (*shape).processesOrAll},
 	{kindSlow, 2, time.Second, 5 * time.Second, (*shape).processesOrAll},
 	{kindLose, 1, time.Second, 4 * time.Second, (*shape).processesOrAll},
 	{kindRewound, 2, 100 * time.Millisecond, 200 * time.Millisecond, func(*shape) []string { return []string{all} }},
-	{kindStale, 2, 2 * time.Second, 5 * time.Second, (*shape).processesOrAll},
+	{kindStale, 4, 2 * time.Second, 5 * time.Second, (*shape).processesOrAll},
 	{kindMute, 2, time.Second, 5 * time.Second, (*shape).processesOrAll},
 	{kindReset, 1, time.Second, 4 * time.Second, (*shape).processesOrAll},
 	{kindEvacuate, 3, 3 * time.Second, 9 * time.Second, (*shape).zoneNames},
 	{kindDrain, 5, 3500 * time.Millisecond, 8 * time.Second, (*shape).agentNames},
 	{kindCrash, 3, 200 * time.Millisecond, 3 * time.Second, (*shape).agentNames},
 	{kindConfig, 5, 100 * time.Millisecond, 200 * time.Millisecond, func(*shape) []string { return []string{all} }},
-	{kindOverload, 2, time.Second, 3 * time.Second, func(*shape) []string { return []string{all} }},
+	{kindOverload, 4, time.Second, 3 * time.Second, func(*shape) []string { return []string{all} }},
 	{kindLaggard, 2, time.Second, 5 * time.Second, (*shape).agentNames},
 	{kindLoud, 2, time.Second, 4 * time.Second, func(*shape) []string { return []string{all} }},
 }
@@ -113,10 +115,24 @@
 	return out
 }
 
-func (s *shape) balancerNames() []string  { return names("balancer", s.Balancers) }
-func (s *shape) agentNames() []string     { return names("agent", s.Agents) }
-func (s *shape) processes() []string      { return append(s.balancerNames(), s.agentNames()...) }
-func (s *shape) zoneNames() []string      { return zones }
+func (s *shape) balancerNames() []string { return names("balancer", s.Balancers) }
+func (s *shape) agentNames() []string    { return names("agent", s.Agents) }
+func (s *shape) processes() []string     { return append(s.balancerNames(), s.agentNames()...) }
+func (s *shape) zoneNames() []string     { return zones }
+
+// pairs are an agent and a balancer each.
+func (s *shape) pairs() []string {
+	var out []string
+	for _, a := range s.agentNames() {
+		for _, b := range s.balancerNames() {
+			out = append(out, a+pairSeparator+b)
+		}
+	}
+	return out
+}
+
+const pairSeparator = ">"
+
 func (s *shape) processesOrAll() []string { return append(s.processes(), all, all, all, all) }
 
 const (
@@ -129,10 +145,11 @@
 // newPlan draws the faults of a run.
 func newPlan(seed Seed, length time.Duration, s shape) []Fault {
 	r := rand.New(rand.NewPCG(uint64(seed), planSalt))
+	focus := []string{s.balancerNames()[r.IntN(s.Balancers)], s.agentNames()[r.IntN(s.Agents)]}
 	var out []Fault
 	for range 3 + r.IntN(3) {
 		for at := quietStart + time.Duration(r.Int64N(int64(3*time.Second))); at < length-time.Second; {
-			f := draw(r, at, length, &s)
+			f := draw(r, at, length, &s, focus)
 			if !slices.ContainsFunc(out, f.collides) {
 				out = append(out, f)
 			}
@@ -148,8 +165,9 @@
 	return out
 }
 
-// draw draws a fault that begins at the time and ends within the length of the run.
-func draw(r *rand.Rand, at, length time.Duration, s *shape) Fault {
+// draw draws a fault that begins at the time and ends within the length of the run. Half of the
+// faults concern the processes in focus, so that faults of several kinds overlap there.
+func draw(r *rand.Rand, at, length time.Duration, s *shape, focus []string) Fault {
 	sum := 0
 	for _, d := range draws {
 		sum += d.weight
@@ -160,6 +178,14 @@
 	}
 	d := draws[i]
 	ts := d.targets(s)
+	if r.IntN(2) == 0 {
+		near := slices.DeleteFunc(slices.Clone(ts), func(t string) bool {
+			return !slices.ContainsFunc(focus, func(x string) bool { return slices.Contains(strings.Split(t, pairSeparator), x) })
+		})
+		if len(near) > 0 {
+			ts = near
+		}
+	}
 	f := Fault{At: at, Kind: d.kind, Target: ts[r.IntN(len(ts))]}
 	f.For = min(d.min+time.Duration(r.Int64N(int64(d.max-d.min))), length-at)
 	f.At, f.For = f.At.Truncate(grain), f.For.Truncate(grain)
--- a/soak/process.go
+++ b/soak/process.go
@@ -55,6 +55,12 @@
 // Close ends the thread.
 func (s *starter) Close() { s.once.Do(func() { close(s.calls) }) }
 
+// Roles of processes, as the commands of the program.
+const (
+	roleBalancer = "balancer"
+	roleAgent    = "agent"
+)
+
 // process is a balancer or an agent under test.
 type process struct {
 	endpoint
--- a/soak/site.go
+++ b/soak/site.go
@@ -153,10 +153,10 @@
 func (s *site) addProcesses(binary string) error {
 	var es []*endpoint
 	for i, n := range s.shape.processes() {
-		p := &process{name: n, role: "balancer", log: filepath.Join(s.dir, n+".log"), starter: s.starter}
+		p := &process{name: n, role: roleBalancer, log: filepath.Join(s.dir, n+".log"), starter: s.starter}
 		j := i
 		if i >= s.shape.Balancers {
-			p.role, p.service, j = "agent", letters, i-s.shape.Balancers
+			p.role, p.service, j = roleAgent, letters, i-s.shape.Balancers
 			if j%4 == 3 {
 				p.service = parcels
 			}
@@ -174,7 +174,7 @@
 		s.processes = append(s.processes, p)
 		s.byName[n], s.byIP[p.ip] = p, p
 		es = append(es, &p.endpoint)
-		if p.role == "agent" {
+		if p.role == roleAgent {
 			s.upstreams[n] = &upstream{s: s, vm: p, http: &http.Client{Timeout: heartbeatTimeout}}
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -143,7 +143,7 @@
 	s := &site{flows: map[datagram.Flow]*flow{}, runs: map[string]int{}, zonesOut: map[string]time.Time{}, acceptedAt: map[int]time.Time{}, latest: map[processRun]evidence{}}
 	s.checks = checks{start: now.Add(-time.Minute), log: slog.New(slog.DiscardHandler), seen: map[string]bool{}, excused: map[Check]int{}}
 	s.operator = &operator{version: 3}
-	vm := &process{name: "agent1", zone: "a", service: letters}
+	vm := &process{name: "agent1", role: roleAgent, zone: "a", service: letters}
 	u := &upstream{s: s, vm: vm, alive: true, life: 1}
 	f := &flow{key: datagram.Flow{Caller: datagram.Endpoint{IP: 1, Port: 2}, Address: feedAddress}, open: true, openedAt: now, owner: u, ownerLife: 1}
 	f.via = []processRun{{&process{name: "balancer1"}, 0}}
@@ -225,6 +225,11 @@
 			fault(s, kindDown, all, -4*time.Second, -3500*time.Millisecond)
 			opening(s, f, u, time.Now())
 		}, checkEvacuated},
+		"evacuated while the store is down for one": {func(s *site, f *flow, u *upstream) {
+			s.zonesOut["a"] = time.Now().Add(-5100 * time.Millisecond)
+			fault(s, kindDown, "balancer1", -4*time.Second, -3500*time.Millisecond)
+			opening(s, f, u, time.Now())
+		}, checkEvacuated},
 		"replaced version": {func(s *site, f *flow, u *upstream) {
 			at(s, versionAddress(2), f)
 			s.acceptedAt[3] = f.openedAt.Add(-3100 * time.Millisecond)
--- a/soak/store.go
+++ b/soak/store.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -59,8 +60,8 @@
 	f.other.turn(false)
 }
 
-// begin adds a fault.
-func (f *front) begin(x Fault) {
+// begin adds a fault. Reads that are stale show what the store had before.
+func (f *front) begin(x Fault, before map[string][]byte) {
 	switch x.Kind {
 	case kindMute:
 		f.link.add(x, impairment{drop: 1})
@@ -73,12 +74,7 @@
 	defer f.mu.Unlock()
 	f.faults[x] = true
 	if x.Kind == kindStale && f.stale == nil {
-		f.stale = map[string][]byte{}
-		for _, k := range []platform.Kind{platform.KindConfiguration, platform.KindEvacuation, platform.KindProcess} {
-			a := httptest.NewRecorder()
-			f.store.ServeHTTP(a, httptest.NewRequest(http.MethodGet, "/pomeloway/objects/"+string(k), nil))
-			f.stale[string(k)] = a.Body.Bytes()
-		}
+		f.stale = before
 	}
 }
 
@@ -114,6 +110,10 @@
 	case stale != nil && r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		var l platform.List
 		json.Unmarshal(stale, &l)
+		if at, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64); platform.Revision(at) > l.At {
+			http.Error(w, "unknown revision", http.StatusGone)
+			return
+		}
 		select {
 		case <-time.After(time.Second):
 		case <-r.Context().Done():
@@ -128,18 +128,31 @@
 
 // operator changes the configuration and the evacuations.
 type operator struct {
+	store   *standin.Platform
 	client  *platform.Client
 	version int
 	at      platform.Revision
+	before  map[string][]byte // answers to lists before the latest change, by kind
 }
 
 // newOperator returns an operator whose calls to the store always arrive.
 func newOperator(store *standin.Platform) *operator {
-	return &operator{client: &platform.Client{URL: "http://store", HTTP: &http.Client{Transport: standin.HandlerTransport{Handler: store}}}}
+	return &operator{store: store, client: &platform.Client{URL: "http://store", HTTP: &http.Client{Transport: standin.HandlerTransport{Handler: store}}}}
+}
+
+// remember notes what the store has.
+func (o *operator) remember() {
+	o.before = map[string][]byte{}
+	for _, k := range []platform.Kind{platform.KindConfiguration, platform.KindEvacuation} {
+		a := httptest.NewRecorder()
+		o.store.ServeHTTP(a, httptest.NewRequest(http.MethodGet, "/pomeloway/objects/"+string(k), nil))
+		o.before[string(k)] = a.Body.Bytes()
+	}
 }
 
 // configure writes the next version of the configuration.
 func (o *operator) configure(ctx context.Context) error {
+	o.remember()
 	v := o.version + 1
 	var x platform.Object
 	var err error
@@ -156,6 +169,7 @@
 
 // evacuate takes the zone out, or back in.
 func (o *operator) evacuate(ctx context.Context, zone string, out bool) error {
+	o.remember()
 	if out {
 		_, err := o.client.Create(ctx, platform.KindEvacuation, zone, struct{}{})
 		return err
--- a/soak/wire.go
+++ b/soak/wire.go
@@ -109,13 +109,14 @@
 // mesh passes datagrams and views between the processes.
 type mesh struct {
 	sockets map[netip.AddrPort]*net.UDPConn
+	pairs   map[[2]netip.Addr]*wire // between two processes
 	closers []interface{ Close() error }
 	wg      sync.WaitGroup
 }
 
 // newMesh listens for every pair of endpoints.
 func newMesh(es []*endpoint) (*mesh, error) {
-	m := &mesh{sockets: map[netip.AddrPort]*net.UDPConn{}}
+	m := &mesh{sockets: map[netip.AddrPort]*net.UDPConn{}, pairs: map[[2]netip.Addr]*wire{}}
 	for _, to := range es {
 		for _, from := range es {
 			if to == from {
@@ -128,6 +129,7 @@
 				return nil, err
 			}
 			m.sockets[a] = c
+			m.pairs[[2]netip.Addr{from.ip, to.ip}] = &wire{}
 			m.closers = append(m.closers, c)
 		}
 	}
@@ -153,6 +155,7 @@
 	in := m.sockets[netip.AddrPortFrom(to.ip, from.port)]
 	out := m.sockets[netip.AddrPortFrom(from.ip, to.port)]
 	dst := netip.AddrPortFrom(to.ip, to.port)
+	pair := m.pairs[[2]netip.Addr{from.ip, to.ip}]
 	b := make([]byte, 2048)
 	for {
 		n, _, err := in.ReadFromUDPAddrPort(b)
@@ -163,7 +166,7 @@
 			continue // the process was not listening
 		}
 		c := append([]byte(nil), b[:n]...)
-		carry(n, func() { out.WriteToUDPAddrPort(c, dst) }, &from.out, &to.in)
+		carry(n, func() { out.WriteToUDPAddrPort(c, dst) }, &from.out, pair, &to.in)
 	}
 }
 
