List resets of flows by a balancer that misses one agent

A balancer that does not hear one agent for 2 s resets flows there when their callers repeat a packet, though their homes name the agent and it answers the callers. Not mended, as it is in package datagram.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -125,6 +125,7 @@
 		"one balancer":  {func(o *options) { o.Balancers = 1 }, "--balancers: must be 2 or more, not 1"},
 		"few agents":    {func(o *options) { o.Agents = 3 }, "--agents: must be 4 or more"},
 		"too many":      {func(o *options) { o.Agents = 90 }, "must be 60 together or less, not 92"},
+		"unknown kind":  {func(o *options) { o.Without = []Kind{"flood"} }, `--without: kind "flood" is unknown`},
 		"too many jobs": {func(o *options) { o.Jobs = 9 }, "--jobs: must be 1 to 8, not 9"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -296,3 +297,23 @@
 		}
 	}
 }
+
+// Guards against flows that are reset, while their requests are answered, by a balancer that does
+// not hear one agent. The others hear it, and the flows' homes name it.
+func TestLostOneWayResetsNothing(t *testing.T) {
+	binary, err := build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := readScenario("cases/one-way.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := play(t.Context(), c, binary, t.TempDir())
+	if err != nil {
+		t.Error(err)
+	}
+	for _, b := range r.breaches {
+		t.Error(b)
+	}
+}
