--- a/soak/checks.go
+++ b/soak/checks.go
@@ -28,26 +28,6 @@
 	begin, end time.Time // end is zero while it lasts
 }
 
-// excused returns the part of the time that the excuse takes. Without an end it lasts.
-func (s *span) excused(e *excuse) span {
-	x := span{begin: s.begin.Add(e.after), end: time.Now().Add(time.Hour)}
-	if !s.end.IsZero() {
-		x.end = s.end.Add(e.until)
-	}
-	if s.lasting() < e.after {
-		x.end = x.begin
-	}
-	return x
-}
-
-// lasting returns how long the fault has lasted.
-func (s *span) lasting() time.Duration {
-	if s.end.IsZero() {
-		return time.Since(s.begin)
-	}
-	return s.end.Sub(s.begin)
-}
-
 // checks collects what went wrong. The lock of the site guards it.
 type checks struct {
 	seed     Seed
@@ -58,7 +38,7 @@
 	stalls   []stall
 	breaches []string
 	seen     map[string]bool
-	excused  map[Check]int // how often a check would have failed without its excuses
+	spared   map[Check]int // how often a check would have failed without its excuses
 }
 
 // stall is how long processes had to wait for a processor until a time.
@@ -109,15 +89,43 @@
 	return sum(to, 1) - sum(from, 0)
 }
 
+// excused returns the times that the excuse takes. Faults that overlap count as one.
+func (k *checks) excused(e *excuse, parties []*process) []span {
+	var out []span
+	for _, s := range k.spans { // in the order in which they began
+		if !e.covers(s.fault, parties) {
+			continue
+		}
+		end := s.end
+		if end.IsZero() {
+			end = time.Now().Add(time.Hour)
+		}
+		if n := len(out); n > 0 && !s.begin.After(out[n-1].end) {
+			if end.After(out[n-1].end) {
+				out[n-1].end = end
+			}
+			continue
+		}
+		out = append(out, span{begin: s.begin, end: end})
+	}
+	for i := range out {
+		x := &out[i]
+		if x.begin = x.begin.Add(e.after); x.begin.After(x.end) {
+			x.end = x.begin // too short to excuse anything
+			continue
+		}
+		x.end = x.end.Add(e.until)
+	}
+	return out
+}
+
 // able returns how much of the time the parties could have kept the promise: without the
 // faults that excuse them and the time in which processes waited for a processor.
 func (k *checks) able(c Check, from, to time.Time, parties ...*process) time.Duration {
 	var covered []span
-	for _, s := range k.spans {
-		for _, e := range excuses {
-			if e.check == c && e.covers(s.fault, parties) {
-				covered = append(covered, s.excused(&e))
-			}
+	for i := range excuses {
+		if e := &excuses[i]; e.check == c {
+			covered = append(covered, k.excused(e, parties)...)
 		}
 	}
 	slices.SortFunc(covered, func(a, b span) int { return a.begin.Compare(b.begin) })
@@ -151,7 +159,7 @@
 	if k.able(c, from, to, parties...) > bound {
 		return true
 	}
-	k.excused[c]++
+	k.spared[c]++
 	return false
 }
 
--- a/soak/excuses.go
+++ b/soak/excuses.go
@@ -41,8 +41,8 @@
 	check  Check
 	kinds  []Kind
 	scope  scope
-	after  time.Duration // the time of a fault counts from this time after its begin on
-	until  time.Duration // and up to this time after its end
+	after  time.Duration // the time of faults counts from this time after their begin on
+	until  time.Duration // and up to this time after their end
 	reason string
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -140,7 +140,9 @@
 			default:
 				os.RemoveAll(dir)
 			}
-			r.print(w)
+			if err == nil {
+				r.print(w)
+			}
 		})
 	}
 	wg.Wait()
--- a/soak/site.go
+++ b/soak/site.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return s, err
 	}
-	s.checks = checks{seed: seed, start: time.Now(), dir: dir, log: slog.New(slog.NewTextHandler(l, nil)), seen: map[string]bool{}, excused: map[Check]int{}}
+	s.checks = checks{seed: seed, start: time.Now(), dir: dir, log: slog.New(slog.NewTextHandler(l, nil)), seen: map[string]bool{}, spared: map[Check]int{}}
 	s.operator = newOperator(&s.platform)
 	if s.ports, err = freePorts(sh.Balancers + sh.Agents); err != nil {
 		return s, err
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -54,6 +55,8 @@
 	s    *site
 	vm   *process
 	http *http.Client
+	// readers are the goroutines that read sockets. The lock does not guard them.
+	readers sync.WaitGroup
 
 	alive    bool
 	draining bool
@@ -84,6 +87,7 @@
 
 // start starts the upstream without flows. It is cold for some time.
 func (u *upstream) start(cold time.Duration) error {
+	u.readers.Wait() // the kernel frees the address when the reader has left its socket
 	at := netip.AddrPortFrom(u.vm.ip, u.s.ports.app)
 	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
 	if err != nil {
@@ -112,7 +116,8 @@
 	u.conn, u.listener, u.flows, u.pending = c, l, map[datagram.Flow]*held{}, 0
 	u.readyAckedAt, u.drainAckedAt, u.coldUntil, u.coldTaken = time.Time{}, time.Time{}, time.Now().Add(cold), nil
 	u.slotFreeAt = [upstreamSlots]time.Time{}
-	go u.read(c, u.life)
+	life := u.life
+	u.readers.Go(func() { u.read(c, life) })
 	go u.announce(u.life)
 	return nil
 }
