--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -55,8 +55,6 @@
 	s    *site
 	vm   *process
 	http *http.Client
-	// readers are the goroutines that read sockets. The lock does not guard them.
-	readers sync.WaitGroup
 
 	alive    bool
 	draining bool
@@ -87,16 +85,12 @@
 
 // start starts the upstream without flows. It is cold for some time.
 func (u *upstream) start(cold time.Duration) error {
-	u.readers.Wait() // the kernel frees the address when the reader has left its socket
 	at := netip.AddrPortFrom(u.vm.ip, u.s.ports.app)
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
-	if err != nil {
-		return err
-	}
-	if err := stampArrivals(c); err != nil {
-		return err
+	c, l, err := listen(at)
+	for end := time.Now().Add(listenLimit); errors.Is(err, unix.EADDRINUSE) && time.Now().Before(end); {
+		time.Sleep(heartbeatRetry)
+		c, l, err = listen(at)
 	}
-	l, err := net.Listen("tcp4", at.String()) // a real upstream serves its health check there
 	if err != nil {
 		return err
 	}
@@ -116,12 +110,33 @@
 	u.conn, u.listener, u.flows, u.pending = c, l, map[datagram.Flow]*held{}, 0
 	u.readyAckedAt, u.drainAckedAt, u.coldUntil, u.coldTaken = time.Time{}, time.Time{}, time.Now().Add(cold), nil
 	u.slotFreeAt = [upstreamSlots]time.Time{}
-	life := u.life
-	u.readers.Go(func() { u.read(c, life) })
+	go u.read(c, u.life)
 	go u.announce(u.life)
 	return nil
 }
 
+// listenLimit limits the attempts to listen again. A program that is being started has a copy of
+// the closed socket between its fork and its exec, for tenths of a second on a busy machine.
+const listenLimit = 10 * time.Second
+
+// listen opens the sockets of an upstream. A real one serves its health check on TCP.
+func listen(at netip.AddrPort) (*net.UDPConn, net.Listener, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := stampArrivals(c); err != nil {
+		c.Close()
+		return nil, nil, err
+	}
+	l, err := net.Listen("tcp4", at.String())
+	if err != nil {
+		c.Close()
+		return nil, nil, err
+	}
+	return c, l, nil
+}
+
 // stop ends the upstream; it loses its flows.
 func (u *upstream) stop() {
 	u.s.mu.Lock()
