Let a burst of half a second pass before openings are refused

Cause: after an outage of a second as many callers come back as are new for a second. Change: slack 0.9, so the level falls after about a second of overload, as the request asks, and not after half of one.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -96,11 +96,13 @@
 }
 
 const (
-	// slack is the excess that has no effect, in seconds of one request per slot too many.
-	slack = 0.3
+	// slack is the excess that has no effect, in seconds of one request per slot too many. With
+	// 0.3 and 0.6, callers that came back after an outage were refused at half the load that the
+	// upstreams bear.
+	slack = 0.9
 	// fallRate and riseRate are how much of the scale the level moves in a second per request
-	// per slot too many or too few. It falls from admitting all to admitting only what is
-	// urgent in about half a second, and rises back within a second when half the slots are free.
+	// per slot too many or too few. An upstream with a full queue admits only what is urgent after
+	// about a second, and everything within a second when half the slots are free.
 	fallRate = 1
 	riseRate = 1
 	// maxQueue bounds the requests per slot that count.
