--- a/experiment/admission_test.go
+++ b/experiment/admission_test.go
@@ -22,6 +22,14 @@
 	return n
 }
 
+// longSeedCount is seedCount for tests that play many cases, with 1 seed by default.
+func longSeedCount() uint64 {
+	if os.Getenv(seedsVariable) == "" {
+		return 1
+	}
+	return seedCount()
+}
+
 // admissionWays are the ways of admission that are compared.
 var admissionWays = map[string]datagram.Admission{
 	"waiting, no level": datagram.AdmitAll, "refusing, no level": datagram.AdmitIfIdle,
@@ -94,10 +102,7 @@
 // fewer requests in time than openings that wait, or after which callers that were refused take the
 // places of new ones.
 func TestWaysOfAdmission(t *testing.T) {
-	seeds := uint64(1)
-	if os.Getenv(seedsVariable) != "" {
-		seeds = seedCount()
-	}
+	seeds := longSeedCount()
 	for site, s := range loadedSites {
 		for _, load := range admissionLoads() {
 			t.Run(fmt.Sprintf("%s, load %v", site, load), func(t *testing.T) {
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -42,9 +42,10 @@
 	partitioned     map[datagram.IP]bool // VMs that can reach only callers and each other
 	placement       datagram.Placement
 	admission       datagram.Admission
-	busyAt          float64       // see datagram.Agent.BusyAt
-	maxMessageDelay time.Duration // limit of the random delay of each message, as on busy VMs; 0: no delay
-	routeSalt       uint64        // input to the router's hash; another value moves nearly all flows
+	busyAt          float64                                 // see datagram.Agent.BusyAt
+	maxMessageDelay time.Duration                           // limit of the random delay of each message, as on busy VMs; 0: no delay
+	routeSalt       uint64                                  // input to the router's hash; another value moves nearly all flows
+	rewrite         func(from datagram.IP, m []byte) []byte // changes messages on their way; nil: none
 	cuts            overlapping[int]
 	losses          overlapping[float64]
 	storeDelays     overlapping[time.Duration]
@@ -262,6 +263,9 @@
 	if w.partitioned[from] != w.partitioned[to] || w.muted[from] {
 		return
 	}
+	if w.rewrite != nil {
+		m = w.rewrite(from, m)
+	}
 	k := datagram.Kind(m[1])
 	if w.controlBytes != nil && k >= datagram.KindAgent {
 		w.controlBytes[to] += len(m) + ipUDPHeaderLen
