Limit accounts that ask for more than their fair share at overload

While a service's level is below 255, an opening of an account that asks for clearly more than its max-min fair share gets only a free slot, except for as many as are its share.

--- a/datagram/admission.go
+++ b/datagram/admission.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/binary"
 	"log/slog"
+	"math"
 	"time"
 
 	"pomeloway.example/pomeloway/admission"
 	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/fairshare"
 	"pomeloway.example/pomeloway/fleet"
 )
 
@@ -67,6 +69,16 @@
 	updatedAt time.Duration // 0: never
 	logged    admission.Level
 	loggedAt  time.Duration
+	// sharers share the capacity among accounts, for openings that are urgent and for others.
+	sharers [2]fairshare.Sharer
+}
+
+// sharer returns the sharer for openings that are urgent, or for the others.
+func (x *serviceAdmission) sharer(urgent bool) *fairshare.Sharer {
+	if urgent {
+		return &x.sharers[0]
+	}
+	return &x.sharers[1]
 }
 
 // levelOf returns the service's level.
@@ -113,6 +125,9 @@
 		o.unadmitted = !x.level.Admits(b.rankOf(o, now))
 	}
 	o.leftover = o.unadmitted && b.Admission != AdmitByLevel
+	if b.Admission == AdmitByLevel && x.level < admission.LevelAll {
+		b.limitAccount(o, x, now)
+	}
 	if o.unadmitted {
 		b.Count.NotAdmitted++
 		b.Log.logDecision(decision{
@@ -122,6 +137,35 @@
 	}
 }
 
+// limitAccount gives an opening of an account that asks for more than its fair share only the free
+// slots, but for as many of its openings as are its share. The choice is by the flow, so that an
+// account that opens many flows is neither served in full nor not at all.
+func (b *Balancer) limitAccount(o *opening, x *serviceAdmission, now time.Duration) {
+	a := fairshare.Account(b.accountOf(o.flow.Caller.IP))
+	s := x.sharer(o.urgent)
+	s.Note(a, now)
+	y := s.Of(a, now)
+	if !y.Limited || float64(fleet.Mix(o.flow.hash(), limitSalt)>>11) < y.Probability*(1<<53) {
+		return
+	}
+	o.unadmitted, o.leftover = true, true
+	b.Count.Limited++
+	b.Log.logDecision(decision{
+		event: events.AccountLimited, flow: o.flow, reason: ReasonOverloaded, hop: uint8(y.Probability * 100),
+		version: b.ConfigurationVersion(), age: x.mean.Age,
+	}, now)
+}
+
+// limitSalt makes the choice among an account's openings independent of the choice of the agent.
+const limitSalt = 0x6c696d6974
+
+// noteServed notes that an upstream accepted the opening.
+func (b *Balancer) noteServed(o *opening, now time.Duration) {
+	if x := b.admissions[o.service]; x != nil && x.level < admission.LevelAll {
+		x.sharer(o.urgent).Served(now)
+	}
+}
+
 // rankOf returns the opening's rank.
 func (b *Balancer) rankOf(o *opening, now time.Duration) admission.Rank {
 	p := admission.Ordinary
@@ -132,11 +176,15 @@
 	if b.Clock != nil {
 		wall = b.Clock()
 	}
-	return admission.RankOf(p, accountOf(o.flow.Caller.IP), wall)
+	return admission.RankOf(p, b.accountOf(o.flow.Caller.IP), wall)
 }
 
-// accountOf returns the account of callers at the address.
-func accountOf(ip IP) admission.Account {
+// accountOf returns the account of callers at the address: the address, or its prefix of the
+// configured length.
+func (b *Balancer) accountOf(ip IP) admission.Account {
+	if b.AccountPrefix != 0 {
+		ip &= math.MaxUint32 << (32 - min(b.AccountPrefix, 32))
+	}
 	var k [4]byte
 	binary.BigEndian.PutUint32(k[:], uint32(ip))
 	return admission.Account(fleet.HashOf(k[:]))
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -31,6 +31,9 @@
 	Placement Placement
 	// Admission selects what happens to openings at overload.
 	Admission Admission
+	// AccountPrefix is the length of the address prefix that callers of one account share, 0 or
+	// 32 if each address is an account of its own.
+	AccountPrefix uint8
 	// Clock returns the time since the Unix epoch, by which the order of admission rotates. If
 	// it is nil, the time since the start of the process is used.
 	Clock func() time.Duration
@@ -84,6 +87,8 @@
 	Entries, Resends, Located uint64
 	// NotAdmitted is the number of openings that their service's level did not admit.
 	NotAdmitted uint64
+	// Limited is the number of openings of accounts beyond their fair share.
+	Limited uint64
 }
 
 // flowLocation is the agent that holds a flow, or the attempt to open it.
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -382,6 +382,7 @@
 		if o.priority != PriorityUrgent {
 			b.openings.recordAnswer(o, from, now)
 		}
+		b.noteServed(o, now)
 		*o = opening{}
 		b.flows.set(f, flowLocation{agent: from})
 	}
--- a/events/events.go
+++ b/events/events.go
@@ -34,6 +34,7 @@
 	OpeningHeld          ID = 1111
 	UploadWaits          ID = 1112
 	OpeningNotAdmitted   ID = 1113
+	AccountLimited       ID = 1114
 	RequestUnderWay      ID = 2201
 	UpstreamChanged      ID = 2202
 	AgentChanged         ID = 3101
@@ -111,6 +112,7 @@
 	{OpeningHeld, "opening held back at a full upstream", slog.LevelInfo},
 	{UploadWaits, "upload waits for the link", slog.LevelInfo},
 	{OpeningNotAdmitted, "opening not admitted", slog.LevelInfo},
+	{AccountLimited, "account limited", slog.LevelInfo},
 	{RequestUnderWay, "request under way", slog.LevelInfo},
 	{UpstreamChanged, "upstream changed", slog.LevelInfo},
 	{AgentChanged, "agent changed", slog.LevelInfo},
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -21,6 +21,8 @@
 	worth          float64 // of a request that is answered within the target latency
 	retries        int     // after a refusal
 	rate           float64 // requests per second
+	// callerAddress returns the address of the n-th caller; nil means consecutive ones.
+	callerAddress func(n int) datagram.IP
 
 	w        *simulation
 	idle     []*caller
@@ -79,8 +81,12 @@
 		return x
 	}
 	w := l.w
+	ip := datagram.IP(0x64500000 + len(w.callers))
+	if l.callerAddress != nil {
+		ip = l.callerAddress(len(w.callers))
+	}
 	x := &caller{
-		w: w, endpoint: datagram.Endpoint{IP: datagram.IP(0x64500000 + len(w.callers)), Port: 1024},
+		w: w, endpoint: datagram.Endpoint{IP: ip, Port: 1024},
 		timeout: l.timeout, targetLatency: l.targetLatency, flowPerRequest: l.flowPerRequest, address: l.address, workload: l,
 	}
 	w.callers[x.endpoint.IP] = x
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -42,6 +42,7 @@
 	partitioned     map[datagram.IP]bool // VMs that can reach only callers and each other
 	placement       datagram.Placement
 	admission       datagram.Admission
+	accountPrefix   uint8                                   // see datagram.Balancer.AccountPrefix
 	busyAt          float64                                 // see datagram.Agent.BusyAt
 	maxMessageDelay time.Duration                           // limit of the random delay of each message, as on busy VMs; 0: no delay
 	routeSalt       uint64                                  // input to the router's hash; another value moves nearly all flows
@@ -340,7 +341,7 @@
 	v.beginLife()
 	v.up, v.startedAt, v.nextTick = true, w.now, 0
 	v.frozen, v.pending = false, nil
-	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, Placement: w.placement, Admission: w.admission, Clock: func() time.Duration { return w.now + v.clockError }, LookupRate: v.size.lookupRate()}
+	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, Placement: w.placement, Admission: w.admission, AccountPrefix: w.accountPrefix, Clock: func() time.Duration { return w.now + v.clockError }, LookupRate: v.size.lookupRate()}
 	v.b.Start()
 	life := v.life
 	w.after(cmp.Or(w.storeLatency, defaultStoreLatency), func() {
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -67,7 +67,7 @@
 		Self: s.self(), Life: s.life, Zone: datagram.ZoneKeyOf(s.settings.Zone), Format: platform.PacketFormat{}, Out: b, Keys: s.keys,
 		Log: &datagram.Log{Log: s.log, MaxLines: o.Lines}, LookupRate: datagram.LookupRate(s.settings.Cores, s.settings.Bandwidth),
 	}
-	b.balancer.Admission = o.admission()
+	b.balancer.Admission, b.balancer.AccountPrefix = o.admission(), o.AccountPrefix
 	b.balancer.Clock = func() time.Duration { return time.Duration(time.Now().UnixNano()) }
 	b.balancer.Bandwidth = s.settings.Bandwidth
 	b.balancer.Observe = s.observe
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -283,6 +283,7 @@
 		"bad key":    {Options{Settings: "f", Keys: []string{"1:short"}}, []string{"--keys ($POMELOWAY_KEYS)"}},
 		"lines":      {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, Lines: -1}, []string{"--lines ($POMELOWAY_LOG_LINES)"}},
 		"admission":  {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, Admission: "on"}, []string{"--admission ($POMELOWAY_ADMISSION)", `must be auto or off, not "on"`}},
+		"account":    {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, AccountPrefix: 7}, []string{"--account-prefix ($POMELOWAY_ACCOUNT_PREFIX)", "must be from 8 to 32, not 7"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := x.o.Validate()
--- a/node/options.go
+++ b/node/options.go
@@ -29,6 +29,8 @@
 	Lines    int      `help:"Maximum number of log lines per second about flows and requests; lines above this number are only counted." default:"200" env:"POMELOWAY_LOG_LINES" group:"Logs"`
 	// Admission is auto or off; empty means auto.
 	Admission string `help:"What happens when a service with routes of several priorities gets more work than its upstreams can do: auto refuses openings of the less urgent routes by the service's admission level, off lets all openings wait." default:"auto" env:"POMELOWAY_ADMISSION" group:"Overload"`
+	// AccountPrefix is from 8 to 32; 0 means 32.
+	AccountPrefix uint8 `help:"Length of the address prefix that the callers of one account share, 8 to 32. At overload, capacity is shared fairly among accounts." default:"32" env:"POMELOWAY_ACCOUNT_PREFIX" group:"Overload"`
 }
 
 // admission returns the setting for the balancer or agent.
@@ -44,6 +46,7 @@
 	admissionAuto     = "auto"
 	admissionOff      = "off"
 	admissionVariable = "POMELOWAY_ADMISSION"
+	accountVariable   = "POMELOWAY_ACCOUNT_PREFIX"
 )
 
 // linesVariable is the environment variable of Options.Lines.
@@ -59,6 +62,8 @@
 	f.RequireVariable(o.Lines >= 0, "--lines", linesVariable, "must be 0 or more")
 	f.RequireVariable(o.Admission == "" || o.Admission == admissionAuto || o.Admission == admissionOff, "--admission", admissionVariable,
 		fmt.Sprintf("must be auto or off, not %q", o.Admission))
+	f.RequireVariable(o.AccountPrefix == 0 || o.AccountPrefix >= 8 && o.AccountPrefix <= 32, "--account-prefix", accountVariable,
+		fmt.Sprintf("must be from 8 to 32, not %d", o.AccountPrefix))
 	return f.ErrOrNil()
 }
 
