--- a/events/events.go
+++ b/events/events.go
@@ -35,6 +35,7 @@
 	UploadWaits          ID = 1112
 	OpeningNotAdmitted   ID = 1113
 	LostFlowsReset       ID = 1115
+	AccountLimited       ID = 1114
 	RequestUnderWay      ID = 2201
 	UpstreamChanged      ID = 2202
 	AgentChanged         ID = 3101
@@ -114,6 +115,7 @@
 	{UploadWaits, "upload waits for the link", slog.LevelInfo},
 	{OpeningNotAdmitted, "opening not admitted", slog.LevelInfo},
 	{LostFlowsReset, "flows of a lost agent reset", slog.LevelWarn},
+	{AccountLimited, "account limited", slog.LevelInfo},
 	{RequestUnderWay, "request under way", slog.LevelInfo},
 	{UpstreamChanged, "upstream changed", slog.LevelInfo},
 	{AgentChanged, "agent changed", slog.LevelInfo},
--- a/experiment/seeds_test.go
+++ b/experiment/seeds_test.go
@@ -24,3 +24,12 @@
 	}
 	return n
 }
+
+// longSeedCount is seedCount for tests that play many cases, with 1 seed by default.
+func longSeedCount(t *testing.T) uint64 {
+	t.Helper()
+	if !hasSeeds() {
+		return 1
+	}
+	return seedCount(t)
+}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -46,6 +46,8 @@
 	busyAt          float64                                        // see datagram.Agent.BusyAt
 	maxMessageDelay time.Duration                                  // limit of the random delay of each message, as on busy VMs; 0: no delay
 	routeSalt       uint64                                         // input to the router's hash; another value moves nearly all flows
+	accountPrefix   uint8                                          // see datagram.Balancer.AccountPrefix
+	rewrite         func(from datagram.IP, m []byte) []byte        // changes messages on their way; nil: none
 	cuts            overlapping[int]
 	losses          overlapping[float64]
 	storeDelays     overlapping[time.Duration]
@@ -270,6 +272,9 @@
 	if w.changeReport != nil {
 		m = w.withChangedReport(from, m)
 	}
+	if w.rewrite != nil {
+		m = w.rewrite(from, m)
+	}
 	k := datagram.Kind(m[1])
 	if w.controlBytes != nil && k >= datagram.KindAgent {
 		w.controlBytes[to] += len(m) + ipUDPHeaderLen
@@ -376,7 +381,7 @@
 	v.beginLife()
 	v.up, v.startedAt, v.nextTick = true, w.now, 0
 	v.frozen, v.pending = false, nil
-	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, Placement: w.placement, Admission: w.admission, Clock: func() time.Duration { return w.now + v.clockError }, LookupRate: v.size.lookupRate()}
+	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, Placement: w.placement, Admission: w.admission, AccountPrefix: w.accountPrefix, Clock: func() time.Duration { return w.now + v.clockError }, LookupRate: v.size.lookupRate()}
 	v.b.Start()
 	life := v.life
 	w.after(cmp.Or(w.storeLatency, defaultStoreLatency), func() {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -285,6 +285,7 @@
 		"admission":  {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, Admission: "on"}, []string{"--admission ($POMELOWAY_ADMISSION)", `must be auto or off, not "on"`}},
 		"placement": {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, Placement: "fast"},
 			[]string{"--placement ($POMELOWAY_PLACEMENT)", `must be auto or count, not "fast"`}},
+		"account": {Options{Settings: "f", Keys: []string{"1:9ow6wBZbFi9UENcfCNG3G_2_cuAmtEZM_WKjhHMBOf0"}, AccountPrefix: 7}, []string{"--account-prefix ($POMELOWAY_ACCOUNT_PREFIX)", "must be from 8 to 32, not 7"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := x.o.Validate()
