--- a/datagram/loadreport_test.go
+++ b/datagram/loadreport_test.go
@@ -1,8 +1,15 @@
 package datagram
 
 import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
+
+	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/servicetime"
 )
 
 // Guards against durations that are distorted on the wire by more than a step of the scale.
@@ -62,3 +69,60 @@
 		t.Errorf("decoded as %+v", r)
 	}
 }
+
+// speedLines returns a log and a function that returns how many lines of event 2207 it has.
+func speedLines() (*Log, func() int) {
+	var b bytes.Buffer
+	l := &Log{Log: events.NewLog(slog.New(slog.NewJSONHandler(&b, nil))), MaxLines: 1000}
+	return l, func() int { return strings.Count(b.String(), fmt.Sprintf(`"event":%d`, events.SpeedChanged)) }
+}
+
+// Guards against a change of speed that the agent does not report or log, and against a line for
+// each request.
+func TestAgentReportsAndLogsItsUpstreamsSpeed(t *testing.T) {
+	now := 10 * time.Second
+	a, _ := busyAgent(t, 1, now)
+	a.requests.times = servicetime.Estimator[Endpoint]{}
+	log, lines := speedLines()
+	a.Log = log
+	if r := a.loadReport(now); r.ServiceTime != 0 || r.TailTime != 0 || r.Utilization != UtilizationUnknown || r.Requests != 1 {
+		t.Errorf("without requests: %+v", r)
+	}
+	for i, d := range []time.Duration{30 * time.Millisecond, 100 * time.Millisecond, 30 * time.Millisecond} {
+		for range 100 {
+			now += d
+			a.requests.times.Count(1, 2, now)
+			a.requests.times.Add(d, now)
+			a.noteServiceTime(Endpoint{2, 443}, d, now)
+		}
+		r := a.loadReport(now)
+		if r.ServiceTime != DurationCodeOf(d) || r.TailTime != DurationCodeOf(d) {
+			t.Errorf("%v and %v, want %v", r.ServiceTime.Duration(), r.TailTime.Duration(), d)
+		}
+		if u, known := r.Utilization.Share(); !known || u < 0.4 || u > 0.6 {
+			t.Errorf("utilization %v, %v", u, known)
+		}
+		if n := lines(); n > i {
+			t.Errorf("%d lines after %d changes", n, i)
+		}
+	}
+	if lines() == 0 || a.Count.SpeedChanges != uint64(lines()) {
+		t.Errorf("%d lines, %d changes counted", lines(), a.Count.SpeedChanges)
+	}
+}
+
+// Guards against slow upstreams that balancers don't name in their logs, and against lines that
+// are repeated.
+func TestBalancerLogsSlowUpstreams(t *testing.T) {
+	now := time.Second
+	b := placingBalancer(t, 12, true, now, slowFrom(9))
+	log, lines := speedLines()
+	b.agents.log = log
+	for range 20 {
+		now += speedInterval
+		b.agents.choose(1, 7, nil, PriorityFirst, time.Second, now)
+	}
+	if n := lines(); n != 4 {
+		t.Errorf("%d lines about 4 slow upstreams", n)
+	}
+}
--- a/experiment/unequal_test.go
+++ b/experiment/unequal_test.go
@@ -388,3 +388,23 @@
 		w.checkBreaches(t)
 	}
 }
+
+// Guards against noise in the measured service times that is taken for a difference in speed.
+func TestAlikeUpstreamsArePlacedByCount(t *testing.T) {
+	t.Parallel()
+	s := unequalSites["a quarter at 0.55, 4 slots"]
+	s.speed = func(int) float64 { return 1 }
+	for seed := range seedCount(t) {
+		w := s.start(t, seed, datagram.PlaceByTime, 0.6)
+		w.runUntil(w.now + 6*time.Second)
+		var byTime, all uint64
+		for _, b := range w.balancersByAddress() {
+			byTime, all = byTime+b.b.Count.PlacedByTime, all+b.b.Count.Openings
+		}
+		share := float64(byTime) / float64(all)
+		t.Logf("seed %d: %.4f placed by time", seed, share)
+		if share > 0.02 {
+			t.Errorf("seed %d: %.4f placed by time, want 0.02 at most", seed, share)
+		}
+	}
+}
