Count the risk to be late only where the tail exceeds the target

Change: the term counts only where the reported tail exceeds the target latency, and without the wait, which the expected time has.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -9,8 +9,8 @@
 
 // The candidates are those few upstreams that rendezvous hashing ranks highest, so balancers do
 // not all send to the same upstream. The expected time of an answer is the time on the way, the
-// wait for a slot and the service time. If the route has a target latency, the risk to be late
-// is added, because a request that takes several times the mean is late at a slow upstream.
+// wait for a slot and the service time. If the tail of an upstream's service times exceeds the
+// route's target latency, the risk to be late is added.
 //
 // Reports are older than requests take. The wait therefore comes from the reported number of
 // requests while the report is fresh, and from the utilization later.
@@ -66,10 +66,11 @@
 	// maxLead bounds how much faster than the mean a report can make an upstream look, which
 	// bounds what a false report costs.
 	maxLead = 4
-	// riskWeight is what a request that is certainly late costs, in target latencies.
-	riskWeight = 0.25
-	// tailExponent describes the service times above the tail time, which are not reported: a
-	// request takes x times as long as the tail time with a probability of 0.1/x^2.
+	// riskWeight is what a request that is certainly late costs, in target latencies. It counts
+	// only where the tail exceeds the target: a term for all requests cost 0.014 of the answers in
+	// time at a load of 1.0 (20 seeds).
+	riskWeight = 1
+	// tailShare is the share of requests that take longer than the tail time.
 	tailShare = 0.1
 	// queueScale is the number of waiting requests per slot that a utilization of 1 above full
 	// stands for.
@@ -175,7 +176,7 @@
 	case w == ByTime || target <= 0:
 		return float64(expected), expected
 	}
-	return float64(expected)/float64(target) + riskWeight*risk(v, target-c.RoundTrip-wait), expected
+	return float64(expected)/float64(target) + riskWeight*risk(v, target-c.RoundTrip), expected
 }
 
 // Expected returns the time after which an answer is expected.
@@ -184,13 +185,13 @@
 	return expected
 }
 
-// risk returns the probability that a request takes longer than the given time in a slot.
+// risk returns by how much the share of requests that take longer than the given time exceeds a
+// tenth. It is 0 unless the tail time does. The wait does not count: it is in the expected time.
 func risk(v Speed, left time.Duration) float64 {
-	if left <= v.TailTime {
-		return 1 - (1-tailShare)*float64(max(0, left))/float64(v.TailTime)
+	if left >= v.TailTime {
+		return 0
 	}
-	x := float64(v.TailTime) / float64(left)
-	return tailShare * x * x
+	return (1 - tailShare) * (1 - float64(max(0, left))/float64(v.TailTime))
 }
 
 // wait returns how long a request waits for a slot of the candidate, which has the given speed.
