--- a/soak/main.go
+++ b/soak/main.go
@@ -93,6 +93,9 @@
 	if err != nil {
 		return err
 	}
+	if o.Keep != "" {
+		defer os.RemoveAll(tmp)
+	}
 	binary := o.Program
 	if binary == "" {
 		if binary, err = build(tmp); err != nil {
