Let held openings and kept requests wait in one queue

Cause: an agent had two queues, held openings in the order of arrival and kept requests with the newest first, and neither began before the upstream's own queue took the whole target latency. Urgent requests that came in a burst stayed behind that queue, and full upstreams rejected requests that could have waited at the agent.

Change: package waitqueue orders what waits by priority, whether it can be in time, and the least time left; it is bounded to 512 entries and 256 KiB. datagram/waiting.go replaces hold.go and kept.go. Requests on open flows begin to wait when the upstream's queue takes 0.7 of their target latency; while something waits, the upstream has two requests more than slots. A request that would be late anyway at an upstream that rejects it is still forwarded. Event 2208 and the counter WaitEnded tell what ended without a place. The histograms hold and kept become waitUrgent and waitNormal, by priority. /state has the queue's length by priority.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomeloway.example/pomeloway/link"
+	"pomeloway.example/pomeloway/waitqueue"
 )
 
 // AgentOutput sends an agent's packets and messages. The agent may reuse a buffer as soon
@@ -36,6 +37,8 @@
 	// BusyAt is the number of requests per slot from which the upstream counts as busy, so
 	// that openings prefer other agents; 0 means busyAt, a negative value never.
 	BusyAt float64
+	// WaitOrder is the order of what waits for a place at the upstream.
+	WaitOrder waitqueue.Order
 	// Evacuation is the time after which nothing more may be sent to an evacuated
 	// availability zone, that is, one that operators took out of service; 0 means
 	// defaultEvacuation.
@@ -66,8 +69,7 @@
 	requests         requests
 	failures         failures
 	expectedRequests expectedRequests
-	held             []heldOpening       // the oldest first
-	kept             []keptRequest       // the oldest first
+	waiting          waitqueue.Queue[waiting]
 	targets          map[Endpoint]Budget // target latencies of routes, as far as they are known
 	lastRecount      time.Duration
 	probing          bool
@@ -92,6 +94,8 @@
 	// full, Held the number of openings that waited for a place at the upstream, Kept
 	// that of requests on open flows that did.
 	Rejected, Held, Kept uint64
+	// WaitEnded is the number of openings and requests that waited and were not forwarded.
+	WaitEnded uint64
 	// Broken is the number of flows that the upstream reset during a request.
 	Broken uint64
 }
@@ -138,6 +142,7 @@
 func (a *Agent) Start() {
 	a.balancers = map[IP]*balancerView{}
 	a.targets = map[Endpoint]Budget{}
+	a.waiting.Order = a.WaitOrder
 	a.flows = newTable[*flowState](flowRotationInterval, maxFlows)
 }
 
@@ -279,8 +284,7 @@
 	a.flows.rotate(now)
 	a.probe(now)
 	a.reportNotBounced(now)
-	a.releaseHeld(now)
-	a.releaseKept(now)
+	a.releaseWaiting(now)
 	if now-a.lastRecount >= recountInterval {
 		a.lastRecount = now
 		a.recount(now)
@@ -308,7 +312,7 @@
 		a.updateHomes(now)
 		a.expirePreviousHomes(now)
 	}
-	at := min(a.lastStatus+StatusInterval, a.nextProbe(), a.nextHeld())
+	at := min(a.lastStatus+StatusInterval, a.nextProbe(), a.waiting.NextExpiry())
 	if len(a.bouncesAwaited) > 0 {
 		at = min(at, a.bouncesAwaited[0].since+bounceTimeout)
 	}
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -12,15 +12,15 @@
 // flowState is what the agent knows about a flow at its upstream.
 type flowState struct {
 	phase      flowPhase
-	receiving  bool      // a request has begun whose last packet has not arrived
-	request    requestID // the request in progress; 0 means none
-	hadRequest bool      // a request was forwarded to the upstream
-	urgent     bool      // its route takes precedence over other routes of the service
-	kept       bool      // the agent keeps its request
-	ahead      int       // requests that were at the upstream when that one arrived
-	finished   bool      // the caller or the upstream has closed or reset it
-	born       int64     // Announcement.Born of the upstream run that has the flow; 0 means unknown
-	accepted   uint32    // sequence number of the upstream's acceptance
+	receiving  bool          // a request has begun whose last packet has not arrived
+	request    requestID     // the request in progress; 0 means none
+	hadRequest bool          // a request was forwarded to the upstream
+	urgent     bool          // its route takes precedence over other routes of the service
+	waiting    *waitingEntry // its request, if it has waited at the agent
+	ahead      int           // requests that were at the upstream when that one arrived
+	finished   bool          // the caller or the upstream has closed or reset it
+	born       int64         // Announcement.Born of the upstream run that has the flow; 0 means unknown
+	accepted   uint32        // sequence number of the upstream's acceptance
 	balancer   IP
 	opening    uint32
 	// lookupPending is set while a balancer waits for a report that the flow is here.
@@ -116,8 +116,8 @@
 	}
 	complete := a.trackCallerPacket(k, f, p, now)
 	switch {
-	case f.kept && k.Length > 0:
-		a.noteKeptCopy(f, now)
+	case f.isWaiting() && k.Length > 0:
+		a.waiting.Extend(f.waiting, now+abandonedAfter)
 		return
 	case complete && a.keep(k.Flow, f, from, h.Flags, p, now):
 		return
@@ -227,8 +227,9 @@
 // receives uploads would be considered busy after some minutes.
 func (a *Agent) trackCallerPacket(k Packet, f *flowState, p []byte, now time.Duration) (complete bool) {
 	if k.Fin || k.Reset {
-		f.finished, f.kept = true, false
+		f.finished = true
 		a.cancelRequest(f, now)
+		a.endWaiting(f.waiting, ReasonCallerLeft, now)
 	}
 	end := k.Seq + uint32(k.Length)
 	if k.Length == 0 || f.phase != flowOpen {
@@ -239,7 +240,7 @@
 		return false
 	}
 	f.callerSent, f.sentUpTo = true, end
-	if f.request != 0 || f.kept {
+	if f.request != 0 || f.isWaiting() {
 		return false
 	}
 	if !f.receiving {
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pomeloway.example/pomeloway/events"
+	"pomeloway.example/pomeloway/waitqueue"
 )
 
 // An agent does the admission control for its upstream. No other process sends packets to
@@ -13,8 +14,21 @@
 // view costs one round trip. The alternative, agents that forward openings to each other,
 // would save the round trip but needs a list of members in each agent.
 
-// refusalReason returns why the upstream must not get the opening now, or ReasonNone.
+// refusalReason returns why the upstream must not get the opening now, or ReasonNone. In the
+// latter case, the opening is counted against the limit of a cold upstream.
 func (a *Agent) refusalReason(h Message, now time.Duration) Reason {
+	u := &a.upstream
+	if r := a.reasonToRefuse(h, now); r != ReasonNone {
+		return r
+	}
+	if (now < u.coldUntil || u.state == UpstreamUnknown) && h.Cold > 0 && !u.bucket.take(h.Cold.perSecond(), now) {
+		return ReasonCold
+	}
+	return ReasonNone
+}
+
+// reasonToRefuse is refusalReason without the limit of a cold upstream.
+func (a *Agent) reasonToRefuse(h Message, now time.Duration) Reason {
 	u := &a.upstream
 	switch {
 	case h.Service != a.Service:
@@ -29,8 +43,6 @@
 		return ReasonUpstreamUnknown
 	case a.isBusy(h, now):
 		return ReasonBusy
-	case (now < u.coldUntil || u.state == UpstreamUnknown) && h.Cold > 0 && !u.bucket.take(h.Cold.perSecond(), now):
-		return ReasonCold
 	}
 	return ReasonNone
 }
@@ -76,11 +88,17 @@
 	return max(u.slots, 1)
 }
 
-// requestCount returns the number of requests that the upstream has or will have shortly.
-func (a *Agent) requestCount(now time.Duration) int {
+// upstreamCount returns the number of requests that the upstream has or will have shortly.
+func (a *Agent) upstreamCount(now time.Duration) int {
 	return a.requests.count() + a.expectedRequests.count(now)
 }
 
+// requestCount returns the number of requests that the upstream has to process: upstreamCount,
+// and those that wait here.
+func (a *Agent) requestCount(now time.Duration) int {
+	return a.upstreamCount(now) + a.waiting.Length(waitqueue.Normal)
+}
+
 // load returns the number of flows and requests that there are or will be shortly.
 func (a *Agent) load(now time.Duration) uint16 {
 	return uint16(min(a.openFlows+a.requestCount(now), math.MaxUint16))
@@ -102,6 +120,9 @@
 	if h.Priority == PriorityFirst && a.BusyAt != 0 {
 		limit = a.BusyAt
 	}
+	if h.Priority == PriorityUrgent {
+		n = a.upstreamCount(now) // it comes before the requests that wait
+	}
 	if s := a.requests.serviceTime(); h.Priority == PriorityUrgent && s > 0 && h.Budget > 0 {
 		return n >= slots && (a.requests.isFull(n) || responseTime(s, n, slots) > h.Budget.duration())
 	}
--- a/datagram/log.go
+++ b/datagram/log.go
@@ -19,6 +19,7 @@
 	version Version
 	// age is the age of the decisive input: a status, or the previous attempt.
 	age     time.Duration
+	left    time.Duration // until what waited was due
 	request string
 }
 
@@ -49,7 +50,7 @@
 	l.Log.AddDecision(events.Decision{
 		ID: d.event, Reason: events.Reason(d.reason.String()),
 		Caller: d.flow.Caller.AddrPort(), Address: d.flow.Address.AddrPort(), Target: target(d.agent),
-		Hop: int(d.hop), Class: int(d.class), Version: uint64(d.version), Age: d.age, Request: d.request,
+		Hop: int(d.hop), Class: int(d.class), Version: uint64(d.version), Age: d.age, Left: d.left, Request: d.request,
 	})
 }
 
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -229,12 +229,14 @@
 	ReasonAgentSilent
 	ReasonOverloaded
 	ReasonLinkBusy
+	ReasonCallerLeft
 	reasonEnd
 )
 
 var reasonNames = [reasonEnd]string{
 	"", "wrongService", "upstreamUnknown", "draining", "zoneOut", "cold", "full", "busy",
 	"noRoute", "noAgent", "notFound", "noAnswer", "upstreamGone", "cutOff", "homeSilent", "homeUnsure", "agentSilent", "overloaded", "linkBusy",
+	"callerLeft",
 }
 
 // String returns the name of the reason in the log.
--- a/datagram/observe.go
+++ b/datagram/observe.go
@@ -1,6 +1,10 @@
 package datagram
 
-import "time"
+import (
+	"time"
+
+	"pomeloway.example/pomeloway/waitqueue"
+)
 
 // Observation identifies a duration that is exported as a metric.
 type Observation uint8
@@ -18,19 +22,22 @@
 	ObserveRequest
 	// ObserveLinkWait: how long the opening of an upload waited for the balancer's link.
 	ObserveLinkWait
-	// ObserveHold: how long an urgent opening was held back at a full upstream.
-	ObserveHold
-	// ObserveKept: how long a request on an open flow was kept back.
-	ObserveKept
+	// ObserveWaitUrgent and ObserveWaitNormal: how long an opening or a request waited for a
+	// place at the upstream, by its priority, whether it got one or not.
+	ObserveWaitUrgent
+	ObserveWaitNormal
 	// ObservationCount is the number of observations.
 	ObservationCount
 )
 
-var observationNames = [ObservationCount]string{"opening", "handshake", "request", "linkWait", "hold", "kept"}
+var observationNames = [ObservationCount]string{"opening", "handshake", "request", "linkWait", "waitUrgent", "waitNormal"}
 
 // String returns the name of the observation's metric.
 func (o Observation) String() string { return observationNames[o] }
 
+// waitObservations are the observations of the time in the queue.
+var waitObservations = [waitqueue.PriorityCount]Observation{ObserveWaitUrgent, ObserveWaitNormal}
+
 // observer receives durations; a nil observer ignores them.
 type observer func(Observation, time.Duration)
 
@@ -83,17 +90,25 @@
 
 // AgentState is an agent's part of /state and of its metrics.
 type AgentState struct {
-	Counts       AgentCounts `json:"counts"`
-	Upstream     string      `json:"upstream"`
-	State        string      `json:"upstreamState"`
-	Known        int         `json:"flowsKnown"`
-	Open         int         `json:"flows"`
-	UnderWay     int         `json:"requestsUnderWay"`
-	Balancers    int         `json:"balancers"`
-	ZoneOut      bool        `json:"zoneOut"`
-	Revision     uint64      `json:"evacuationsRevision"`
-	Version      Version     `json:"version"`
-	LinesLeftOut uint64      `json:"linesLeftOut"`
+	Counts       AgentCounts  `json:"counts"`
+	Upstream     string       `json:"upstream"`
+	State        string       `json:"upstreamState"`
+	Known        int          `json:"flowsKnown"`
+	Open         int          `json:"flows"`
+	UnderWay     int          `json:"requestsUnderWay"`
+	Balancers    int          `json:"balancers"`
+	ZoneOut      bool         `json:"zoneOut"`
+	Revision     uint64       `json:"evacuationsRevision"`
+	Version      Version      `json:"version"`
+	Waiting      WaitingState `json:"waiting"`
+	LinesLeftOut uint64       `json:"linesLeftOut"`
+}
+
+// WaitingState is the length of an agent's queue, by priority, and its size.
+type WaitingState struct {
+	Urgent int `json:"urgent"`
+	Normal int `json:"normal"`
+	Bytes  int `json:"bytes"`
 }
 
 // Status returns the agent's state and counts.
@@ -101,6 +116,9 @@
 	s := AgentState{
 		Counts: a.Count, Upstream: a.upstream.id, State: a.upstream.state.String(), Known: a.flows.len(), Open: a.openFlows,
 		UnderWay: a.requests.count(), Balancers: len(a.balancers), ZoneOut: a.zoneOut, Revision: a.revision, Version: a.version,
+		Waiting: WaitingState{
+			Urgent: a.waiting.Length(waitqueue.Urgent), Normal: a.waiting.Length(waitqueue.Normal), Bytes: a.waiting.Bytes(),
+		},
 	}
 	if a.Log != nil {
 		s.LinesLeftOut = a.Log.LeftOut
--- a/events/events.go
+++ b/events/events.go
@@ -45,6 +45,7 @@
 	RequestKept          ID = 2204
 	KeptRequestForwarded ID = 2205
 	KeptRequestDropped   ID = 2206
+	WaitEnded            ID = 2208
 	RequestPlaced        ID = 2001
 	RequestPassed        ID = 2002
 	RequestRefused       ID = 2003
@@ -120,6 +121,7 @@
 	{RequestKept, "request kept back", slog.LevelInfo},
 	{KeptRequestForwarded, "kept request forwarded", slog.LevelInfo},
 	{KeptRequestDropped, "kept request dropped", slog.LevelInfo},
+	{WaitEnded, "wait ended without a place", slog.LevelInfo},
 	{AnnouncementRefused, "upstream's announcement refused", slog.LevelWarn},
 	{RequestPlaced, "request placed", slog.LevelInfo},
 	{RequestPassed, "request passed on", slog.LevelInfo},
--- a/events/log.go
+++ b/events/log.go
@@ -77,6 +77,7 @@
 	Class   int
 	Version uint64
 	Age     time.Duration
+	Left    time.Duration // until the answer was due; negative afterwards
 	Request string
 }
 
@@ -151,7 +152,7 @@
 }
 
 func (l *Log) writeDatagram(d Decision) {
-	as := make([]slog.Attr, 0, 9)
+	as := make([]slog.Attr, 0, 10)
 	as = append(as, slog.String("caller", d.Caller.String()), slog.String("address", d.Address.String()))
 	if d.Reason != "" {
 		as = append(as, slog.String("reason", string(d.Reason)))
@@ -169,5 +170,8 @@
 	if d.Age != 0 {
 		as = append(as, slog.Float64("ageMs", float64(d.Age.Microseconds())/1000))
 	}
+	if d.Left != 0 {
+		as = append(as, slog.Float64("leftMs", float64(d.Left.Microseconds())/1000))
+	}
 	l.Add(d.ID, as...)
 }
--- a/experiment/overload_test.go
+++ b/experiment/overload_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomeloway.example/pomeloway/datagram"
+	"pomeloway.example/pomeloway/waitqueue"
 )
 
 // loadedSite is a site whose upstreams a mix of feeds on open flows and of urgent
@@ -13,6 +14,7 @@
 type loadedSite struct {
 	upstreams, slots, queue int
 	feeds, confirmations    workload
+	order                   waitqueue.Order // of what waits at the agents
 }
 
 // Sites whose upstreams reject requests before their queue makes all late, and whose
@@ -37,6 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	w.waitOrder = s.order
 	for i := range 6 {
 		w.addBalancer(i, size{})
 	}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -13,6 +13,7 @@
 	"pomeloway.example/pomeloway/keyring"
 	"pomeloway.example/pomeloway/link"
 	"pomeloway.example/pomeloway/platform"
+	"pomeloway.example/pomeloway/waitqueue"
 )
 
 // simulation is a discrete-event simulation of a site. Balancers and agents run their
@@ -41,7 +42,8 @@
 	muted           map[datagram.IP]bool // VMs whose messages to other VMs are dropped
 	partitioned     map[datagram.IP]bool // VMs that can reach only callers and each other
 	placement       datagram.Placement
-	busyAt          float64       // see datagram.Agent.BusyAt
+	busyAt          float64 // see datagram.Agent.BusyAt
+	waitOrder       waitqueue.Order
 	maxMessageDelay time.Duration // limit of the random delay of each message, as on busy VMs; 0: no delay
 	routeSalt       uint64        // input to the router's hash; another value moves nearly all flows
 	cuts            overlapping[int]
@@ -442,7 +444,7 @@
 	}
 	w := v.w
 	v.up, v.startedAt, v.life = true, w.now, v.life+1
-	v.a = &datagram.Agent{Life: w.newLife(), Service: v.service, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, BusyAt: w.busyAt}
+	v.a = &datagram.Agent{Life: w.newLife(), Service: v.service, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, BusyAt: w.busyAt, WaitOrder: w.waitOrder}
 	life := v.life
 	v.a.Probe = func() {
 		w.after(time.Millisecond, func() {
