Let admitted requests wait rather than be rejected

Cause: the first requests of flows and urgent requests went to the upstream even where it was known to reject them.

Change: such a request waits at the agent if it can be in time behind those that the upstream has, and is forwarded as soon as the upstream takes one more. It is never behind requests that were not admitted.

The long queue is unchanged: nothing is rejected there.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -70,6 +70,8 @@
 	failures         failures
 	expectedRequests expectedRequests
 	waiting          waitqueue.Queue[waiting]
+	waitingOpenings  int                 // openings in waiting
+	waitingAdmitted  int                 // admitted requests in waiting
 	targets          map[Endpoint]Budget // target latencies of routes, as far as they are known
 	lastRecount      time.Duration
 	probing          bool
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -29,6 +29,7 @@
 	registered   time.Duration
 	since        time.Duration
 	requestStart time.Duration // when the current request began
+	due          time.Duration // when the answer to the first request is due; 0 means unknown
 	callerSent   bool          // the caller has sent data, up to sentUpTo
 	sentUpTo     uint32
 	// ackNumber is what the caller has acknowledged or is about to acknowledge. A reset
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"pomeloway.example/pomeloway/events"
-	"pomeloway.example/pomeloway/waitqueue"
 )
 
 // An agent does the admission control for its upstream. No other process sends packets to
@@ -96,7 +95,7 @@
 // requestCount returns the number of requests that the upstream has to process: upstreamCount,
 // and those that wait here.
 func (a *Agent) requestCount(now time.Duration) int {
-	return a.upstreamCount(now) + a.waiting.Length(waitqueue.Normal)
+	return a.upstreamCount(now) + a.waitingRequests()
 }
 
 // load returns the number of flows and requests that there are or will be shortly.
@@ -121,7 +120,7 @@
 		limit = a.BusyAt
 	}
 	if h.Priority == PriorityUrgent {
-		n = a.upstreamCount(now) // it comes before the requests that wait
+		n = a.upstreamCount(now) + a.waitingAdmitted // the other requests that wait come later
 	}
 	if s := a.requests.serviceTime(); h.Priority == PriorityUrgent && s > 0 && h.Budget > 0 {
 		return n >= slots && (a.requests.isFull(n) || responseTime(s, n, slots) > h.Budget.duration())
@@ -184,6 +183,9 @@
 	if f == nil || f.phase == flowUnconfirmed {
 		f = &flowState{phase: flowOffered, born: a.upstream.born, since: now}
 		f.urgent = h.Flags.has(FlagUrgent)
+		if h.Budget > 0 {
+			f.due = now + h.Budget.duration()
+		}
 		a.noteTarget(k.Address, h.Budget)
 		a.flows.set(k, f)
 		a.expectedRequests.add(1, now)
--- a/datagram/waiting.go
+++ b/datagram/waiting.go
@@ -14,8 +14,8 @@
 // slots busy. Requests that will be late get the places that are left over.
 //
 // Urgent openings wait for a moment only, as their balancer may find another upstream. Requests
-// on open flows belong to this upstream; only the first request of a flow, which was admitted
-// with its opening, and urgent requests never wait.
+// on open flows belong to this upstream. The first request of a flow, which was admitted with its
+// opening, and urgent requests wait only if the upstream would reject them.
 
 const (
 	// maxHoldTime ends before the balancer would send the opening to another agent.
@@ -40,6 +40,8 @@
 	flow   Flow
 	state  *flowState // of a request; nil for an opening
 	packet []byte
+	// admitted: the request had a place when the opening of its flow was forwarded.
+	admitted bool
 }
 
 func (w *waiting) isOpening() bool { return w.state == nil }
@@ -50,7 +52,7 @@
 // hold holds back an opening that found the upstream busy. It returns false if the opening
 // has to be declined instead.
 func (a *Agent) hold(from IP, h Message, f Flow, p []byte, now time.Duration) bool {
-	if h.Priority != PriorityUrgent || a.waiting.Length(waitqueue.Urgent) >= maxHeld || len(p) > maxOpeningLen {
+	if h.Priority != PriorityUrgent || a.waitingOpenings >= maxHeld || len(p) > maxOpeningLen {
 		return false
 	}
 	due := waitqueue.Never
@@ -64,6 +66,7 @@
 	if e == nil {
 		return false
 	}
+	a.waitingOpenings++
 	a.Count.Held++
 	a.Log.logDecision(decision{
 		event: events.OpeningHeld, flow: f, agent: from, version: a.version,
@@ -80,20 +83,31 @@
 	}
 }
 
-// keep keeps a request of an open flow for which the upstream has no place. It returns false if
-// the request has to be forwarded.
+// keep keeps a request for which the upstream has no place. It returns false if the request has
+// to be forwarded.
 func (a *Agent) keep(k Flow, f *flowState, from IP, flags Flags, p []byte, now time.Duration) bool {
 	target := a.targets[k.Address].duration()
-	if f.urgent || !f.hadRequest || target == 0 || a.hasPlaceFor(target, now) {
+	due := now + target
+	if !f.hadRequest && f.due != 0 {
+		due = f.due // the target latency counts from the opening
+	}
+	if target == 0 || a.hasPlaceFor(f, due-now, target, now) {
 		return false
 	}
-	f.waiting = a.waiting.Push(waitingEntry{
-		Value:    waiting{from: from, header: Message{Flags: flags}, flow: k, state: f, packet: slices.Clone(p)},
-		Priority: waitqueue.Normal, Size: len(p), Since: now, Due: now + target,
-	}, now+abandonedAfter)
+	x := waitingEntry{
+		Value:    waiting{from: from, header: Message{Flags: flags}, flow: k, state: f, packet: slices.Clone(p), admitted: f.isAdmitted()},
+		Priority: waitqueue.Normal, Size: len(p), Since: now, Due: due,
+	}
+	if f.urgent {
+		x.Priority = waitqueue.Urgent
+	}
+	f.waiting = a.waiting.Push(x, now+abandonedAfter)
 	if f.waiting == nil {
 		return false
 	}
+	if x.Value.admitted {
+		a.waitingAdmitted++
+	}
 	a.Count.Kept++
 	a.Log.logDecision(decision{
 		event: events.RequestKept, flow: k, agent: from, request: a.Format.RequestID(p), version: a.version,
@@ -102,18 +116,23 @@
 	return true
 }
 
-// hasPlaceFor reports whether a request with the target latency is forwarded when it arrives.
+// hasPlaceFor reports whether a request is forwarded when it arrives, that has the given time left
+// of its target latency.
 //
-// Without anything that waits, all requests are forwarded that can be in time, as long as the
-// upstream does not reject them. A request that would be late at an upstream that rejects it is
-// forwarded as well, because its caller is told at once.
-func (a *Agent) hasPlaceFor(target, now time.Duration) bool {
+// Without anything that waits, requests are forwarded as long as the upstream's queue takes only
+// a part of the target latency. Admitted ones, which had a place when their opening was forwarded,
+// wait only if the upstream would reject them. A request that would be late anyway at an upstream
+// that rejects it is forwarded, because its caller is told at once.
+func (a *Agent) hasPlaceFor(f *flowState, left, target, now time.Duration) bool {
 	n, slots, s := a.upstreamCount(now), a.upstream.slotCount(), a.requests.serviceTime()
-	switch full := a.requests.isFull(n); {
+	switch {
 	case s == 0 || a.hasPlace(now):
 		return true
-	case full:
-		return responseTime(s, n+a.waiting.Len(), slots) > target
+	case f.isAdmitted():
+		n = a.requests.count() // its own opening is among those expected
+		return !a.requests.isFull(n) || responseTime(s, n+a.waitingAdmitted, slots) > left
+	case a.requests.isFull(n):
+		return responseTime(s, n+a.waiting.Len(), slots) > left
 	case a.waiting.Length(waitqueue.Normal) > 0:
 		return false
 	}
@@ -143,13 +162,16 @@
 	}
 	for q.Len() > 0 {
 		place := a.hasPlace(now)
-		if !place && q.Length(waitqueue.Urgent) == 0 {
+		if !place && q.Length(waitqueue.Urgent) == 0 && a.waitingAdmitted == 0 {
 			return
 		}
 		d := a.responseNow(now)
 		e := q.Next(now, d, func(e *waitingEntry) bool {
-			if e.Value.isOpening() {
+			switch {
+			case e.Value.isOpening():
 				return a.reasonToRefuse(openingHeader(e, now), now) != ReasonBusy
+			case e.Value.admitted:
+				return place || !a.requests.isFull(a.requests.count())
 			}
 			return place && (!e.IsLate(now, d) || a.requests.count() < a.upstream.slotCount())
 		})
@@ -176,7 +198,7 @@
 			a.endWaiting(e, r, now)
 			return
 		}
-		a.waiting.Remove(e)
+		a.removeWaiting(e)
 		a.Observe.record(waitObservations[e.Priority], now-e.Since)
 		a.offer(x.from, h, x.flow, x.packet, now)
 		return
@@ -185,8 +207,7 @@
 		a.endWaiting(e, r, now)
 		return
 	}
-	a.waiting.Remove(e)
-	x.state.waiting = nil
+	a.removeWaiting(e)
 	a.Observe.record(waitObservations[e.Priority], now-e.Since)
 	a.logWaiting(events.KeptRequestForwarded, e, now)
 	a.beginRequest(x.state, now)
@@ -195,9 +216,10 @@
 
 // endWaiting ends an entry that is not forwarded: it declines an opening and drops a request.
 func (a *Agent) endWaiting(e *waitingEntry, r Reason, now time.Duration) {
-	if !a.waiting.Remove(e) {
+	if !e.Queued() {
 		return
 	}
+	a.removeWaiting(e)
 	a.Count.WaitEnded++
 	a.Observe.record(waitObservations[e.Priority], now-e.Since)
 	x := &e.Value
@@ -209,10 +231,26 @@
 		a.decline(x.from, openingHeader(e, now), x.flow, r, now)
 		return
 	}
+	a.logWaiting(events.KeptRequestDropped, e, now)
+}
+
+// waitingRequests returns the number of requests that wait, without openings.
+func (a *Agent) waitingRequests() int { return a.waiting.Len() - a.waitingOpenings }
+
+// removeWaiting removes an entry from the queue and from what is counted beside it.
+func (a *Agent) removeWaiting(e *waitingEntry) {
+	a.waiting.Remove(e)
+	x := &e.Value
+	switch {
+	case x.isOpening():
+		a.waitingOpenings--
+		return
+	case x.admitted:
+		a.waitingAdmitted--
+	}
 	if x.state.waiting == e {
 		x.state.waiting = nil
 	}
-	a.logWaiting(events.KeptRequestDropped, e, now)
 }
 
 func (a *Agent) logWaiting(id events.ID, e *waitingEntry, now time.Duration) {
@@ -237,5 +275,9 @@
 	return ReasonNone
 }
 
+// isAdmitted reports whether the flow's next request had a place when its opening was forwarded:
+// urgent routes have a flow for each request.
+func (f *flowState) isAdmitted() bool { return f.urgent || !f.hadRequest }
+
 // isWaiting reports whether the flow's request waits at the agent.
 func (f *flowState) isWaiting() bool { return f.waiting.Queued() }
--- a/datagram/waiting_test.go
+++ b/datagram/waiting_test.go
@@ -140,11 +140,17 @@
 		prepare    func(a *Agent, f *flowState)
 		want       bool // the request is forwarded
 	}{
-		"free slot":            {1, nil, true},
-		"short queue":          {8, nil, true},
-		"long queue":           {30, nil, false},
-		"full":                 {30, func(a *Agent, _ *flowState) { a.requests.capacity = 30 }, true},
-		"first request":        {30, func(_ *Agent, f *flowState) { f.hadRequest = false }, true},
+		"free slot":                            {1, nil, true},
+		"short queue":                          {8, nil, true},
+		"long queue":                           {30, nil, false},
+		"full":                                 {30, func(a *Agent, _ *flowState) { a.requests.capacity = 30 }, true},
+		"first request":                        {30, func(_ *Agent, f *flowState) { f.hadRequest = false }, true},
+		"first request that would be rejected": {10, func(a *Agent, f *flowState) { f.hadRequest, a.requests.capacity = false, 10 }, false},
+		"urgent that would be rejected":        {10, func(a *Agent, f *flowState) { f.urgent, a.requests.capacity = true, 10 }, false},
+		"urgent that would be rejected, late":  {20, func(a *Agent, f *flowState) { f.urgent, a.requests.capacity = true, 20 }, true},
+		"first request with little time left": {10, func(a *Agent, f *flowState) {
+			f.hadRequest, f.due, a.requests.capacity = false, now+100*time.Millisecond, 10
+		}, true},
 		"urgent":               {30, func(_ *Agent, f *flowState) { f.urgent = true }, true},
 		"no target":            {30, func(a *Agent, _ *flowState) { clear(a.targets) }, true},
 		"service time unknown": {30, func(a *Agent, _ *flowState) { a.requests.done = 0 }, true},
@@ -205,6 +211,32 @@
 	}
 }
 
+// Guards against urgent requests that the upstream would reject and that wait longer than
+// necessary, or behind others.
+func TestAdmittedRequestGetsTheNextPlace(t *testing.T) {
+	now := 10 * time.Second
+	a, s, request := keepingAgent(t, 10, now)
+	a.requests.capacity = 10
+	for port := range uint16(3) {
+		request(1+port, 100)
+	}
+	f, _ := a.flows.get(Flow{Endpoint{1, 4}, Endpoint{2, 443}})
+	f.urgent = true
+	request(4, 100)
+	if s.upstream != 0 || a.waiting.Len() != 4 || a.waitingAdmitted != 1 {
+		t.Fatalf("%d requests forwarded, %d kept, %d of them admitted", s.upstream, a.waiting.Len(), a.waitingAdmitted)
+	}
+	a.requests.inProgress = a.requests.inProgress[:9]
+	a.Tick(now)
+	if s.upstream != 1 || f.isWaiting() || f.request == 0 || a.waitingAdmitted != 0 {
+		t.Fatalf("%d requests forwarded; the urgent one waits: %v", s.upstream, f.isWaiting())
+	}
+	a.Tick(now)
+	if s.upstream != 1 {
+		t.Error("a request was forwarded to a full upstream")
+	}
+}
+
 // Guards against upstreams that work for callers who have left, and against requests that
 // reach an upstream which must not have them.
 func TestKeptRequestsAreDropped(t *testing.T) {
