Derive the limits of openings from time

Cause: an opening that every agent had declined was accepted at fewer than two requests a slot, however much time it had left, and noted as declined without being asked at that priority. At slow upstreams the same limit made requests late.

Balancers no longer conclude from another priority's refusal that a repeated opening with a target would be declined (a line each in agentview.go and openings.go). The fixed limits remain where there is no target or no estimate, and for late openings.

--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -114,10 +114,11 @@
 
 // noteDecline records that the agent refused an opening of the priority while its upstream
 // had the given number of requests. It would also refuse openings of every other priority
-// whose limit that number reaches. The limit of PriorityUrgent is the agent's to compute.
-func (a *agentView) noteDecline(p Priority, requests int, now time.Duration) {
+// whose limit that number reaches, unless only the agent knows that limit: the limits of some
+// priorities depend on the time that an opening with a target latency has left.
+func (a *agentView) noteDecline(p Priority, requests int, hasTarget bool, now time.Duration) {
 	for q := range priorityEnd {
-		if q == p || q != PriorityUrgent && q.limit()*float64(max(a.status.Slots, 1)) <= float64(requests) {
+		if q == p || !q.isComputed(hasTarget) && q.limit()*float64(max(a.status.Slots, 1)) <= float64(requests) {
 			a.declinedAt[q] = now
 		}
 	}
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -111,21 +111,21 @@
 // that announce themselves first would otherwise get several times their share before the
 // next status.
 func (a *Agent) isBusy(h Message, now time.Duration) bool {
-	n, slots := a.requestCount(now), a.upstream.slotCount()
-	if h.Priority == PriorityFirst && a.failures.isFailing(now) {
-		return true
+	if h.Priority == PriorityFirst && (a.failures.isFailing(now) || a.BusyAt < 0) {
+		return a.failures.isFailing(now)
 	}
-	limit := h.Priority.limit()
-	if h.Priority == PriorityFirst && a.BusyAt != 0 {
-		limit = a.BusyAt
+	x := load{
+		requests: a.requestCount(now), slots: a.upstream.slotCount(), serviceTime: a.requests.serviceTime(),
+		left: h.Budget.duration(), limit: h.Priority.limit(),
 	}
-	if h.Priority == PriorityUrgent {
-		n = a.upstreamCount(now) + a.waitingAdmitted // the other requests that wait come later
-	}
-	if s := a.requests.serviceTime(); h.Priority == PriorityUrgent && s > 0 && h.Budget > 0 {
-		return n >= slots && (a.requests.isFull(n) || responseTime(s, n, slots) > h.Budget.duration())
+	switch {
+	case h.Priority == PriorityUrgent:
+		x.requests = a.upstreamCount(now) + a.waitingAdmitted // the other requests that wait come later
+	case h.Priority == PriorityFirst && a.BusyAt != 0:
+		x.limit = a.BusyAt
 	}
-	return limit > 0 && float64(n) >= limit*float64(slots)
+	x.full = a.requests.isFull(x.requests)
+	return h.Priority.declines(x)
 }
 
 // responseTime estimates when a request is answered that arrives behind n others at an
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -399,7 +399,7 @@
 	case ReasonBusy:
 		o.inconclusive, o.busy = true, true // a slot will be free before the caller gives up
 		if a := b.agents.byIP[from]; a != nil {
-			a.noteDecline(o.priority, int(h.Requests), now)
+			a.noteDecline(o.priority, int(h.Requests), o.targetLatency > 0, now)
 		}
 		if o.declines++; o.leastBusy == 0 || h.Requests < o.leastBusyRequests {
 			o.leastBusy, o.leastBusyRequests = from, h.Requests
