--- a/experiment/upstream.go
+++ b/experiment/upstream.go
@@ -173,6 +173,9 @@
 		u.send(encodePacket(p.Flow.Address, p.Flow.Caller, flagAck, h.seq+1, p.Seq+uint32(p.Length), shedAnswer))
 		return
 	}
+	if w.runs != nil {
+		w.runs[requestKey{p.Flow, p.Seq}]++
+	}
 	u.pending++
 	if len(u.slotFreeAt) == 0 {
 		u.slotFreeAt = make([]time.Duration, u.slots)
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -60,6 +60,7 @@
 	measuredStarted, measuredInAim int
 	failedOnLiveFlow               int // requests since measureFrom that failed on open flows whose upstreams run
 	shed                           int
+	runs                           map[requestKey]int  // how often each request was processed; nil: not counted
 	controlBytes                   map[datagram.IP]int // bytes of control messages to each VM, with their headers; nil: not counted
 	lookupTraffic                  traffic             // messages that belong to lookups of flows
 	breaches                       []string
@@ -68,6 +69,12 @@
 	seconds  []Second
 }
 
+// requestKey identifies a request.
+type requestKey struct {
+	flow datagram.Flow
+	seq  uint32
+}
+
 // second returns the counts of the second in which a request started.
 func (w *simulation) second(start time.Duration) *Second {
 	if w.dayStart == 0 || start < w.dayStart {
