--- a/datagram/waiting_test.go
+++ b/datagram/waiting_test.go
@@ -1,10 +1,15 @@
 package datagram
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
 	"slices"
 	"testing"
 	"time"
 
+	"pomeloway.example/pomeloway/events"
 	"pomeloway.example/pomeloway/waitqueue"
 )
 
@@ -277,3 +282,70 @@
 		a.waiting.Push(waitingEntry{Value: waiting{state: &flowState{}}, Priority: waitqueue.Normal}, waitqueue.Never)
 	}
 }
+
+// Guards against waits that end without a trace of the reason, or of whether there was time left.
+func TestWaitsThatEndAreLogged(t *testing.T) {
+	flow := Flow{Endpoint{1, 1}, Endpoint{2, 443}}
+	for name, x := range map[string]struct {
+		end    func(a *Agent, now time.Duration)
+		after  time.Duration
+		reason string
+		left   float64 // in ms
+	}{
+		"caller silent": {func(*Agent, time.Duration) {}, abandonedAfter, "callerLeft", 240 - 2000},
+		"caller closed": {func(a *Agent, now time.Duration) {
+			f, _ := a.flows.get(flow)
+			a.trackCallerPacket(Packet{Fin: true}, f, nil, now)
+		}, 20 * time.Millisecond, "callerLeft", 220},
+		"flow lost":          {func(a *Agent, _ time.Duration) { a.flows.remove(flow) }, 20 * time.Millisecond, "notFound", 220},
+		"upstream restarted": {func(a *Agent, _ time.Duration) { a.upstream.born = 6 }, 20 * time.Millisecond, "upstreamGone", 220},
+		"zone evacuated": {func(a *Agent, now time.Duration) {
+			a.setZonesOut([]ZoneKey{3}, 9, now-defaultEvacuation)
+		}, 20 * time.Millisecond, "zoneOut", 220},
+		"opening": {func(a *Agent, _ time.Duration) {
+			f, _ := a.flows.get(flow)
+			a.removeWaiting(f.waiting)
+			a.requests.capacity = 10
+			a.HandleMessage(1, openingMessage(a, 9, PriorityUrgent, 280*time.Millisecond), 10*time.Second)
+		}, maxHoldTime, "busy", 240},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			var out bytes.Buffer
+			l := events.NewLog(slog.New(slog.NewJSONHandler(&out, nil)))
+			a, _, request := keepingAgent(t, 30, now)
+			a.Log = &Log{Log: l, MaxLines: 100}
+			a.lastRecount = now + time.Hour
+			request(1, 100)
+			x.end(a, now+x.after)
+			if name != "opening" {
+				a.requests.inProgress = nil
+			}
+			a.Tick(now + x.after)
+			ctx, stop := context.WithCancel(t.Context())
+			stop()
+			l.Run(ctx)
+			var found []string
+			for line := range bytes.Lines(out.Bytes()) {
+				var d struct {
+					Event         events.ID
+					Reason        string
+					AgeMs, LeftMs float64
+				}
+				if err := json.Unmarshal(line, &d); err != nil {
+					t.Fatal(err)
+				}
+				if d.Event != events.WaitEnded {
+					continue
+				}
+				found = append(found, d.Reason)
+				if d.Reason != x.reason || d.AgeMs != float64(x.after/time.Millisecond) || d.LeftMs != x.left {
+					t.Errorf("logged %+v, want reason %s, age %v and %v ms left", d, x.reason, x.after, x.left)
+				}
+			}
+			if len(found) != 1 || a.Count.WaitEnded != 1 || a.waiting.Len() != 0 {
+				t.Errorf("lines with reasons %q, %d counted, %d left in the queue; want one line", found, a.Count.WaitEnded, a.waiting.Len())
+			}
+		})
+	}
+}
