Leave the queue to openings with shorter targets

Cause: since a repeated opening is accepted by the time that it has left.

Change: the time that counts is at most the shortest target latency that the agent knows.

TestContention plays the usual load for a second and then next to none while the last requests end, to take less time. The model check of waitqueue also fails for entries that expire early or count as queued after their release.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -73,6 +73,7 @@
 	waitingOpenings  int                 // openings in waiting
 	waitingAdmitted  int                 // admitted requests in waiting
 	targets          map[Endpoint]Budget // target latencies of routes, as far as they are known
+	shortestTarget   time.Duration       // the least of targets; 0 means unknown
 	lastRecount      time.Duration
 	probing          bool
 	lastProbe        time.Duration // when the last probe began; 0: never
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -121,6 +121,9 @@
 	switch {
 	case h.Priority == PriorityUrgent:
 		x.requests = a.upstreamCount(now) + a.waitingAdmitted // the other requests that wait come later
+	case h.Priority == PriorityRepeated && a.shortestTarget > 0:
+		// Openings with much time left would fill the queue, and those with less be late.
+		x.left = min(x.left, a.shortestTarget)
 	case h.Priority == PriorityFirst && a.BusyAt != 0:
 		x.limit = a.BusyAt
 	}
--- a/datagram/waiting.go
+++ b/datagram/waiting.go
@@ -1,6 +1,7 @@
 package datagram
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -78,8 +79,13 @@
 // noteTarget learns the target latency of a route, less the time that packets travel, from an
 // opening.
 func (a *Agent) noteTarget(e Endpoint, b Budget) {
-	if b > a.targets[e] {
-		a.targets[e] = b
+	if b <= a.targets[e] {
+		return
+	}
+	a.targets[e] = b
+	a.shortestTarget = math.MaxInt64
+	for _, t := range a.targets {
+		a.shortestTarget = min(a.shortestTarget, t.duration())
 	}
 }
 
--- a/datagram/waiting_test.go
+++ b/datagram/waiting_test.go
@@ -160,6 +160,10 @@
 		"no target":            {30, func(a *Agent, _ *flowState) { clear(a.targets) }, true},
 		"service time unknown": {30, func(a *Agent, _ *flowState) { a.requests.done = 0 }, true},
 		"many are kept":        {30, fillQueue, true},
+		"large ones are kept": {30, func(a *Agent, _ *flowState) {
+			x := waitingEntry{Value: waiting{state: &flowState{}}, Priority: waitqueue.Normal, Size: waitqueue.MaxBytes}
+			a.waiting.Push(x, waitqueue.Never)
+		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, s, request := keepingAgent(t, x.inProgress, now)
@@ -349,3 +353,26 @@
 		})
 	}
 }
+
+// Guards against openings with much time left that fill an upstream's queue, so that those of
+// another route with less time are late.
+func TestRepeatedOpeningsLeaveTheQueueToShorterTargets(t *testing.T) {
+	const now = 10 * time.Second
+	for name, x := range map[string]struct {
+		shortest time.Duration
+		want     bool
+	}{
+		"same target":             {800 * time.Millisecond, true},
+		"another, shorter target": {200 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, s := busyAgent(t, 10, now)
+			a.noteTarget(Endpoint{2, 443}, budgetOf(800*time.Millisecond))
+			a.noteTarget(Endpoint{3, 443}, budgetOf(x.shortest))
+			a.HandleMessage(1, openingMessage(a, 9, PriorityRepeated, 800*time.Millisecond), now)
+			if got := s.upstream == 1; got != x.want {
+				t.Errorf("forwarded: %v, want %v", got, x.want)
+			}
+		})
+	}
+}
--- a/experiment/waiting_test.go
+++ b/experiment/waiting_test.go
@@ -87,7 +87,8 @@
 		shed := w.shed
 		f, c := w.play(load/usualUse, length)
 		f2, c2 := w.play(1, 2*time.Second)
-		w.play(1, confirmations.timeout)
+		w.play(1, time.Second)
+		w.play(0.02, confirmations.timeout) // until the last of the counted requests has ended
 		w.checkBreaches(t)
 		x.feeds.add(f)
 		x.confirmations.add(c)
@@ -162,7 +163,7 @@
 		l.rate, feeds.rate = feeds.rate/2, feeds.rate/2
 		w.addWorkload(&l)
 		w.runUntil(w.now + 3*time.Second)
-		q, u := w.play(load/usualUse, 4*time.Second)
+		q, u := w.play(load/usualUse, 8*time.Second)
 		n := l.outcomes
 		w.play(1, 2*time.Second)
 		w.checkBreaches(t)
--- a/waitqueue/waitqueue_test.go
+++ b/waitqueue/waitqueue_test.go
@@ -187,7 +187,7 @@
 				t.Fatalf("entry %d was released twice", e.Value)
 			}
 			released[e.Value] = true
-			if !q.Remove(e) || q.Remove(e) {
+			if !e.Queued() || !q.Remove(e) || q.Remove(e) || e.Queued() {
 				t.Fatalf("entry %d can't be removed exactly once", e.Value)
 			}
 			model = slices.DeleteFunc(model, func(m modelEntry) bool { return m.id == e.Value })
@@ -259,6 +259,9 @@
 			},
 			"expire": func(t *rapid.T) {
 				for e := q.Expired(now); e != nil; e = q.Expired(now) {
+					if i := slices.IndexFunc(model, func(m modelEntry) bool { return m.id == e.Value }); i < 0 || model[i].expires > now {
+						t.Fatalf("entry %d expired too early", e.Value)
+					}
 					take(e)
 				}
 				if slices.ContainsFunc(model, func(m modelEntry) bool { return m.expires <= now }) {
