--- a/datagram/admission.go
+++ b/datagram/admission.go
@@ -244,7 +244,8 @@
 // the flows that it has: nearly all openings that are not urgent are refused.
 const overloadedLevel admission.Level = 144
 
-// isOverloaded reports whether the upstream is overloaded. Requests on open flows then wait at the agent from the same load on as openings do, so that the upstream's queue is
+// isOverloaded reports whether the upstream is overloaded. Requests on open flows then wait at the
+// agent from the same load on as openings do, so that the upstream's queue is
 // short when the overload ends.
 func (a *Agent) isOverloaded(now time.Duration) bool { return a.level(now) < overloadedLevel }
 
