Call accounts heavy and light

Cause: loud and quiet are not the field's words for accounts by their load. Measured: go test ./fairshare, ./experiment -run HeavyAccounts pass.

--- a/experiment/fairshare_test.go
+++ b/experiment/fairshare_test.go
@@ -10,24 +10,24 @@
 // sharedPrefix is the length of the prefix that the callers of one account share in these tests.
 const sharedPrefix = 20
 
-// loudAccounts are loads of a few loud accounts beside many quiet ones.
-var loudAccounts = map[string]loudLoad{
+// heavyAccounts are loads of a few heavy accounts beside many light ones.
+var heavyAccounts = map[string]heavyLoad{
 	"one account at twice the load of all others":   {accounts: 1, load: 0.6},
 	"one account at three times the load of others": {accounts: 1, load: 1},
-	"three loud accounts":                           {accounts: 3, load: 1},
+	"three heavy accounts":                          {accounts: 3, load: 1},
 	"one of three zones at 4.7 times its load":      {accounts: 1, load: 0.7, quietZones: 2},
 }
 
-type loudLoad struct {
+type heavyLoad struct {
 	accounts int
-	load     float64 // of the loud accounts, as a share of what the upstreams bear
-	// quietZones is the number of accounts that the quiet callers belong to; 0 if each is an
+	load     float64 // of the heavy accounts, as a share of what the upstreams bear
+	// quietZones is the number of accounts that the light callers belong to; 0 if each is an
 	// account of its own.
 	quietZones int
 }
 
-// playLoud returns the outcomes of the quiet callers' requests, the loud ones' and the urgent ones.
-func playLoud(t *testing.T, seed uint64, x loudLoad, prefix uint8) (quiet, loud, urgent outcomes) {
+// playHeavy returns the outcomes of the light callers' requests, the heavy ones' and the urgent ones.
+func playHeavy(t *testing.T, seed uint64, x heavyLoad, prefix uint8) (light, heavy, urgent outcomes) {
 	t.Helper()
 	s := loadedSites["short queue"]
 	s.feeds.flowPerRequest = true
@@ -58,19 +58,19 @@
 	return *q, *lo, *u
 }
 
-// Guards against a few loud accounts that cost the others what they could have had.
-func TestLoudAccountsCostOthersNothing(t *testing.T) {
-	for name, x := range loudAccounts {
+// Guards against a few heavy accounts that cost the others what they could have had.
+func TestHeavyAccountsCostOthersNothing(t *testing.T) {
+	for name, x := range heavyAccounts {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range longSeedCount(t) {
-				alone, _, _ := playLoud(t, seed, loudLoad{accounts: 1, quietZones: x.quietZones}, sharedPrefix)
-				quiet, loud, urgent := playLoud(t, seed, x, sharedPrefix)
-				unshared, unsharedLoud, _ := playLoud(t, seed, x, 32)
-				t.Logf("seed %d: in time: quiet %.3f, alone %.3f, with an account for each loud caller %.3f; loud %.3f, %.3f; urgent %.3f; %+v",
-					seed, quiet.share(), alone.share(), unshared.share(), loud.share(), unsharedLoud.share(), urgent.share(), quiet)
-				if quiet.share() < alone.share()-0.01 {
-					t.Errorf("seed %d: %.3f of the quiet callers' requests in time, %.3f without the loud ones", seed, quiet.share(), alone.share())
+				alone, _, _ := playHeavy(t, seed, heavyLoad{accounts: 1, quietZones: x.quietZones}, sharedPrefix)
+				light, heavy, urgent := playHeavy(t, seed, x, sharedPrefix)
+				unshared, unsharedHeavy, _ := playHeavy(t, seed, x, 32)
+				t.Logf("seed %d: in time: light %.3f, alone %.3f, with an account for each heavy caller %.3f; heavy %.3f, %.3f; urgent %.3f; %+v",
+					seed, light.share(), alone.share(), unshared.share(), heavy.share(), unsharedHeavy.share(), urgent.share(), light)
+				if light.share() < alone.share()-0.01 {
+					t.Errorf("seed %d: %.3f of the light callers' requests in time, %.3f without the heavy ones", seed, light.share(), alone.share())
 				}
 				if urgent.share() < 0.99 {
 					t.Errorf("seed %d: %.3f of the urgent requests in time", seed, urgent.share())
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -37,17 +37,17 @@
 // loudAccount is the account that opens more than the others.
 const loudAccount Account = 1
 
-// play has each quiet account open once in each second and the loud one as often as given, in turns,
+// play has each light account open once in each second and the heavy one as often as given, in turns,
 // and serves the share of all openings.
-func play(s *Sharer, quiet, loud int, share float64, d time.Duration) {
+func play(s *Sharer, light, heavy int, share float64, d time.Duration) {
 	served := 0.0
-	n := quiet + loud
+	n := light + heavy
 	for now := time.Duration(0); now < d; now += time.Second {
 		q := 0
 		for i := range n {
 			at := now + time.Duration(i)*time.Second/time.Duration(n)
 			a := loudAccount
-			if (i+1)*quiet/n > q {
+			if (i+1)*light/n > q {
 				q++
 				a = Account(1000 + q)
 			}
@@ -60,18 +60,18 @@
 	}
 }
 
-// Guards against a loud account that keeps its precedence, and against quiet ones that lose theirs.
+// Guards against a heavy account that keeps its precedence, and against light ones that lose theirs.
 func TestLoudAccountIsLimited(t *testing.T) {
 	var s Sharer
 	play(&s, 200, 50, 0.9, 3*time.Second)
 	now := 3 * time.Second
 	x := s.Of(loudAccount, now)
 	if !x.Limited || x.Probability > 0.7 {
-		t.Errorf("the loud account gets %+v", x)
+		t.Errorf("the heavy account gets %+v", x)
 	}
 	for i := range Account(200) {
 		if y := s.Of(1001+i, now); y.Limited || y.Probability != 1 {
-			t.Errorf("the quiet account %d gets %+v", i, y)
+			t.Errorf("the light account %d gets %+v", i, y)
 		}
 	}
 }
@@ -93,7 +93,7 @@
 			}
 			play(&s, 200, 50, x.share, 3*time.Second)
 			if y := s.Of(loudAccount, 3*time.Second+x.pause); y.Limited {
-				t.Errorf("the loud account gets %+v", y)
+				t.Errorf("the heavy account gets %+v", y)
 			}
 		})
 	}
