--- a/experiment/unequal_test.go
+++ b/experiment/unequal_test.go
@@ -394,3 +394,32 @@
 		}
 	}
 }
+
+// Guards against an upstream that fails its requests at once, looks fast and gets most of them. One of
+// the others is slow, so that openings are placed by time.
+func TestFailingUpstreamGetsNoMoreThanOthers(t *testing.T) {
+	t.Parallel()
+	s := unequalSites["a quarter at 0.55, 4 slots"]
+	var failed, all int
+	for seed := range seedCount(t) {
+		w := s.start(t, seed, datagram.PlaceByTime, 0.3)
+		failing := w.agentsByAddress()[5].u
+		failing.speed = 40
+		w.runUntil(w.now + time.Second)
+		for _, v := range w.agentsByAddress() {
+			all -= v.u.openings
+		}
+		failed -= failing.openings
+		w.runUntil(w.now + 4*time.Second)
+		for _, v := range w.agentsByAddress() {
+			all += v.u.openings
+		}
+		failed += failing.openings
+		w.checkBreaches(t)
+	}
+	share := float64(failed) * float64(s.upstreams) / float64(all)
+	t.Logf("%.2f of the mean number of openings", share)
+	if share > 2 {
+		t.Errorf("the failing upstream gets %.2f of the mean number of openings, want at most 2", share)
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -63,9 +63,9 @@
 	// MaxReportAge is the age from which a report is not used. It exceeds the interval of
 	// statuses in large fleets.
 	MaxReportAge = 30 * time.Second
-	// maxLead bounds how much faster than the mean a report can make an upstream look, which
-	// bounds what a false report costs.
-	maxLead = 4
+	// maxLead is the factor by which an upstream can be faster than the mean. One that looks
+	// faster fails its requests at once, and would get most of them, or its report is false.
+	maxLead = 2
 	// riskWeight is what a request that is certainly late costs, in target latencies. It counts
 	// only where the tail exceeds the target: a term for all requests cost 0.014 of the answers in
 	// time at a load of 1.0 (20 seeds).
@@ -154,12 +154,12 @@
 	return c.ServiceTime > 0 && c.TailTime > 0 && c.Age <= MaxReportAge
 }
 
-// Speed returns the reported speed, or the service's mean if that is not known.
+// Speed returns the reported speed, or the service's mean if that is not known or not plausible.
 func (c *Candidate) Speed(s Speed) Speed {
-	if !c.Known() {
+	if !c.Known() || c.ServiceTime < s.ServiceTime/maxLead {
 		return s
 	}
-	return Speed{max(c.ServiceTime, s.ServiceTime/maxLead), max(c.TailTime, s.TailTime/maxLead)}
+	return Speed{c.ServiceTime, max(c.TailTime, s.TailTime/maxLead)}
 }
 
 func (c *Candidate) slots() int { return max(c.Slots, 1) }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -76,7 +76,7 @@
 
 func drawSpeed(t *rapid.T) Speed {
 	d := rapid.Int64Range(0, int64(15*time.Second))
-	return Speed{time.Duration(d.Draw(t, "mean")), time.Duration(d.Draw(t, "meanTail"))}
+	return Speed{ServiceTime: time.Duration(d.Draw(t, "mean")), TailTime: time.Duration(d.Draw(t, "meanTail"))}
 }
 
 func drawWay(t *rapid.T) Way {
@@ -110,7 +110,7 @@
 // Guards against a choice by time among upstreams of like speed.
 func TestAlikeUpstreamsAreLeftToTheCount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := Speed{time.Duration(rapid.Int64Range(1e6, 1e9).Draw(t, "mean")), 0}
+		m := Speed{ServiceTime: time.Duration(rapid.Int64Range(1e6, 1e9).Draw(t, "mean"))}
 		m.TailTime = 2 * m.ServiceTime
 		var cs []Candidate
 		for range rapid.IntRange(0, 8).Draw(t, "n") {
@@ -157,6 +157,17 @@
 	}
 }
 
+// Guards against an upstream that fails its requests at once, looks fast and gets most of them.
+func TestImplausibleSpeedCountsAsTheMean(t *testing.T) {
+	failing, idle := candidate(0.01), Candidate{}
+	if c := ByTimeAndRisk.Choose([]Candidate{candidate(0.9), failing}, mean, target); c.Index != -1 {
+		t.Errorf("candidate %d is chosen by time, want the count to decide", c.Index)
+	}
+	if d, usual := failing.Expected(mean), idle.Expected(mean); d != usual {
+		t.Errorf("an answer of a failing upstream is expected after %v, of one whose speed is not known after %v", d, usual)
+	}
+}
+
 // Guards against memory allocations for each opening.
 func TestChooseDoesNotAllocate(t *testing.T) {
 	cs := [...]Candidate{candidate(1), candidate(2.5), candidate(0.5), candidate(1.2)}
