Let balancers learn of each other from the homes that agents list

Cause: TestLostOneWayResetsNothing still failed at times. A play with the reset's inputs written out (a trial) showed the home set of balancer1 as itself alone: it and the others had started together, read the member records before each other's were written, and would read them again after 10 s. As the only home it needed no other home's answer, and reset flows of the agent that it did not hear. Change: a balancer makes itself known to the homes that an agent lists in its status, as it does to balancers that another one lists. Measured: TestBalancersHearOfEachOtherFromAgents fails before.

--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -73,6 +73,9 @@
 	if a := b.agents.byIP[from]; a != nil && a.status.Life == s.Life && a.status.Sequence == s.Sequence {
 		a.updateReport(h.Report, now)
 		if len(ips) > 0 {
+			// Balancers that start together may read the member records before each other's are
+			// written. Their agents know all of them.
+			b.discoverPeers(ips, now)
 			a.homes = newHomeSet(ips)
 		}
 		b.checkEntries(from, &a.status, now)
@@ -96,11 +99,7 @@
 		b.sendStatusTo(from, now) // it has just started and knows few processes
 		b.updateHomes(now)
 	}
-	for _, ip := range s.Balancers {
-		if b.discoverPeer(ip, now) {
-			b.sendStatusTo(ip, now)
-		}
-	}
+	b.discoverPeers(s.Balancers, now)
 	b.resolveMismatch(from, s.Homes, &p.mismatch, now)
 	b.SetZonesOut(s.Zones, s.Revision, now)
 	if s.Version > b.ConfigurationVersion() && b.OnNewerConfiguration != nil {
@@ -149,6 +148,15 @@
 	return true
 }
 
+// discoverPeers adds the balancers that are not known and sends them this balancer's status.
+func (b *Balancer) discoverPeers(ips []IP, now time.Duration) {
+	for _, ip := range ips {
+		if b.discoverPeer(ip, now) {
+			b.sendStatusTo(ip, now)
+		}
+	}
+}
+
 // MembersToRemove returns the recorded members that this balancer considers dead and whose
 // records it has to remove. Rendezvous hashing assigns each dead member to one of the
 // watchers, as only these read the records regularly.
