Keep the platform's words in the stand-ins, and split the simulation's processes off

Cause: the soak test wrote heartbeats, configurations and paths of the platform itself; experiment/world.go held the clock, the network and both programs; the admission controller had two rates that were both 1; names and comments of the soak test and of fair shares were not the field's.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -88,7 +88,8 @@
 // It integrates how far the requests per slot exceed what they may be. The integral settles at the
 // level at which the upstream's slots are busy and its queue is short. It has to exceed slack
 // before anything is refused, so that the bursts of a load that the upstream can bear have no
-// effect.
+// effect. An upstream with a full queue admits only what is urgent after about a second, and
+// everything within a second when half the slots are free.
 type Controller struct {
 	excess    float64
 	updatedAt time.Duration
@@ -100,11 +101,6 @@
 	// 0.3, bursts at three quarters of what the upstreams bear made single requests late, and
 	// callers that came back after an outage were refused at half of it.
 	slack = 0.6
-	// fallRate and riseRate are how much of the scale the level moves in a second per request
-	// per slot too many or too few. An upstream with a full queue admits only what is urgent after
-	// about a second, and everything within a second when half the slots are free.
-	fallRate = 1
-	riseRate = 1
 	// maxQueue bounds the requests per slot that count.
 	maxQueue = 3
 	// busyQueue is the number of requests per slot that keeps the slots busy. Agents decline
@@ -124,15 +120,11 @@
 		return
 	}
 	queue := min(float64(l.Requests+l.Waiting)/float64(max(l.Slots, 1)), maxQueue)
-	rate := riseRate * (queue - l.queueLimit())
-	if rate > 0 {
-		rate *= float64(fallRate) / riseRate
-	}
 	most := slack + 1 - float64(levelUrgent)/float64(LevelAll)
 	if l.UrgentOnly {
 		most = slack + 1
 	}
-	c.excess = max(0, min(c.excess+rate*d.Seconds(), most))
+	c.excess = max(0, min(c.excess+(queue-l.queueLimit())*d.Seconds(), most))
 }
 
 // queueLimit returns the number of requests per slot above which the upstream is overloaded: as
--- /dev/null
+++ b/experiment/process.go
@@ -0,0 +1,201 @@
+package experiment
+
+import (
+	"cmp"
+	"time"
+
+	"pomeloway.example/pomeloway/datagram"
+	"pomeloway.example/pomeloway/platform"
+)
+
+// The programs on the simulated VMs: balancers, and agents with their upstreams.
+
+// balancerVM is a VM with a balancer. It implements datagram.BalancerOutput.
+type balancerVM struct {
+	machine
+	ip        datagram.IP
+	b         *datagram.Balancer
+	up        bool
+	startedAt time.Duration
+	nextTick  time.Duration
+	// clockError is how far its wall clock is ahead.
+	clockError time.Duration
+	// frozen is set while the balancer is paused; pending holds what it receives meanwhile.
+	frozen  bool
+	pending []func()
+}
+
+// ToProcess sends a message to another VM of the fleet.
+func (v *balancerVM) ToProcess(ip datagram.IP, m []byte) {
+	v.enqueueSend(ip, m, func(m []byte) { v.w.sendToProcess(v.ip, ip, m) })
+}
+
+// ToCaller sends a packet to a caller.
+func (v *balancerVM) ToCaller(ip datagram.IP, p []byte) {
+	v.enqueueSend(ip, p, func(p []byte) { v.w.sendToCaller(ip, p, nil) })
+}
+
+// addBalancer adds a VM of the given size with a balancer, and starts it.
+func (w *simulation) addBalancer(n int, s size) *balancerVM {
+	v := &balancerVM{machine: machine{w: w, size: s}, ip: datagram.IP(0x0a000100 + n)}
+	w.balancers[v.ip] = v
+	w.members = append(w.members, datagram.Member{IP: v.ip})
+	v.start()
+	return v
+}
+
+// start starts the balancer, which reads the store after its latency.
+func (v *balancerVM) start() {
+	if v.up {
+		return // two overlapping faults stopped it, and the first to end has started it
+	}
+	w := v.w
+	v.beginLife()
+	v.up, v.startedAt, v.nextTick = true, w.now, 0
+	v.frozen, v.pending = false, nil
+	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, Placement: w.placement, Admission: w.admission, AccountPrefix: w.accountPrefix, Clock: func() time.Duration { return w.now + v.clockError }, LookupRate: v.size.lookupRate()}
+	v.b.Start()
+	life := v.life
+	w.after(cmp.Or(w.storeLatency, defaultStoreLatency), func() {
+		if v.life != life {
+			return
+		}
+		v.b.SetConfiguration(w.config)
+		v.b.SetZonesOut(w.zonesOut, w.zonesRevision, w.now-v.startedAt)
+		v.b.SetMembers(append([]datagram.Member(nil), w.members...), true, w.now-v.startedAt)
+		v.tick()
+	})
+	v.tick()
+}
+
+// receive passes a datagram to the balancer, or queues it while the balancer is paused.
+func (v *balancerVM) receive(c class, b []byte, handle func()) {
+	if v.frozen {
+		if len(v.pending) < maxReceiveQueue {
+			v.pending = append(v.pending, func() { v.receive(c, b, handle) })
+		}
+		return
+	}
+	v.enqueueReceived(c, len(b), func() {
+		handle()
+		v.tick()
+	})
+}
+
+// unfreeze ends the pause of the balancer and handles what it received meanwhile.
+func (v *balancerVM) unfreeze() {
+	pending := v.pending
+	v.frozen, v.pending = false, nil
+	for _, f := range pending {
+		f()
+	}
+	v.tick()
+}
+
+// stop stops the balancer.
+func (v *balancerVM) stop() { v.up, v.life = false, v.life+1 }
+
+// tick runs what is due at the balancer and schedules the next tick for the time that the
+// balancer asks for. Only the latest scheduled tick is valid; earlier ones are ignored.
+func (v *balancerVM) tick() {
+	if v.frozen {
+		return
+	}
+	w, life := v.w, v.life
+	now := w.now - v.startedAt
+	at := v.startedAt + max(v.b.Tick(now), now+time.Millisecond)
+	if v.nextTick > w.now && v.nextTick <= at {
+		return
+	}
+	v.nextTick = at
+	w.after(at-w.now, func() {
+		if v.life == life && v.nextTick == at {
+			v.tick()
+		}
+	})
+}
+
+// agentVM is a VM with an agent and its upstream. It implements datagram.AgentOutput.
+type agentVM struct {
+	w             *simulation
+	ip            datagram.IP
+	zone          string
+	service       datagram.ServiceKey
+	a             *datagram.Agent
+	u             *upstream
+	up            bool // the agent runs
+	lost          bool // the VM is lost permanently
+	drainRecorded bool // the store has a record that the upstream drains
+	startedAt     time.Duration
+	life          int // increases with each start and stop of the agent
+}
+
+// ToProcess sends a message to another VM of the fleet.
+func (v *agentVM) ToProcess(ip datagram.IP, m []byte) { v.w.sendToProcess(v.ip, ip, m) }
+
+// ToCaller sends a packet of the upstream to a caller.
+func (v *agentVM) ToCaller(ip datagram.IP, p []byte) { v.w.sendToCaller(ip, p, v.u) }
+
+// ToUpstream passes a packet to the upstream.
+func (v *agentVM) ToUpstream(p []byte) { v.u.handlePacket(append([]byte(nil), p...)) }
+
+// addAgent adds a VM with an agent and an upstream of the default service.
+func (w *simulation) addAgent(n int, zone string) *agentVM {
+	return w.addServiceAgent(n, zone, routedServiceKey)
+}
+
+// addServiceAgent adds a VM with an agent and an upstream of the service, and starts them.
+func (w *simulation) addServiceAgent(n int, zone string, service datagram.ServiceKey) *agentVM {
+	v := &agentVM{w: w, ip: datagram.IP(0x0a010000 + n), zone: zone, service: service}
+	w.agents[v.ip] = v
+	w.members = append(w.members, datagram.Member{IP: v.ip, Agent: true, Service: service, Zone: datagram.ZoneKeyOf(zone)})
+	v.u = &upstream{w: w, vm: v, slots: 5, serviceTime: 30 * time.Millisecond}
+	v.start()
+	w.after(10*time.Millisecond, v.u.start)
+	return v
+}
+
+// start starts the agent, which reads the store after its latency.
+func (v *agentVM) start() {
+	if v.up || v.lost {
+		return
+	}
+	w := v.w
+	v.up, v.startedAt, v.life = true, w.now, v.life+1
+	v.a = &datagram.Agent{Life: w.newLife(), Service: v.service, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, BusyAt: w.busyAt, Admission: w.admission}
+	life := v.life
+	v.a.Probe = func() {
+		w.after(time.Millisecond, func() {
+			if v.life == life {
+				p := datagram.ProbeRefused
+				if v.u.alive {
+					p = datagram.ProbeAccepted
+				}
+				v.a.HandleProbeResult(p, w.now-v.startedAt)
+			}
+		})
+	}
+	v.a.OnDrain = func() { w.after(defaultStoreLatency, func() { v.drainRecorded = true }) }
+	v.a.Start()
+	w.after(cmp.Or(w.storeLatency, defaultStoreLatency), func() {
+		if v.life == life {
+			v.a.SetRecordedDraining(v.drainRecorded)
+		}
+	})
+	if b := w.balancersByAddress(); len(b) > 0 {
+		v.a.AddBalancer(b[0].ip, 0) // it learns of the other balancers from this one
+	}
+}
+
+// stop stops the agent; its upstream keeps running.
+func (v *agentVM) stop() { v.up, v.life = false, v.life+1 }
+
+// tick runs what is due at the agent and schedules the next tick.
+func (v *agentVM) tick() {
+	d := datagram.StatusInterval
+	if v.up {
+		now := v.w.now - v.startedAt
+		d = min(d, max(time.Millisecond, v.a.Tick(now)-now))
+	}
+	v.w.after(d, v.tick)
+}
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -5,8 +5,8 @@
 // keeps the heaviest accounts. It also counts how many openings were served. From these it derives
 // the max-min fair threshold: the rate t for which the sum of min(rate, t) over all accounts is what
 // was served. An account up to t is never limited. One that is clearly above t keeps its precedence
-// with probability t/rate. Capacity is measured, not derived from the admission level, because at the
-// lowest level openings are still served when there are places.
+// with probability t/rate. What was served stands for the capacity, and not the admission level,
+// because at the lowest level openings are still served when there are places.
 //
 // Routers spread the flows of an account over the balancers of a zone, so a balancer's own counts
 // are a sample of the service's, and nothing is exchanged. The state is bounded, whatever the number
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -34,8 +34,8 @@
 	})
 }
 
-// loudAccount is the account that opens more than the others.
-const loudAccount Account = 1
+// heavyAccount is the account that opens more than the others.
+const heavyAccount Account = 1
 
 // play has each light account open once in each second and the heavy one as often as given, in turns,
 // and serves the share of all openings.
@@ -46,7 +46,7 @@
 		q := 0
 		for i := range n {
 			at := now + time.Duration(i)*time.Second/time.Duration(n)
-			a := loudAccount
+			a := heavyAccount
 			if (i+1)*light/n > q {
 				q++
 				a = Account(1000 + q)
@@ -65,7 +65,7 @@
 	var s Sharer
 	play(&s, 200, 50, 0.9, 3*time.Second)
 	now := 3 * time.Second
-	x := s.Of(loudAccount, now)
+	x := s.Of(heavyAccount, now)
 	if !x.Limited || x.Probability > 0.7 {
 		t.Errorf("the heavy account gets %+v", x)
 	}
@@ -88,11 +88,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var s Sharer
-			if y := s.Of(loudAccount, 0); y.Limited {
+			if y := s.Of(heavyAccount, 0); y.Limited {
 				t.Errorf("%+v before anything was counted", y)
 			}
 			play(&s, 200, 50, x.share, 3*time.Second)
-			if y := s.Of(loudAccount, 3*time.Second+x.pause); y.Limited {
+			if y := s.Of(heavyAccount, 3*time.Second+x.pause); y.Limited {
 				t.Errorf("the heavy account gets %+v", y)
 			}
 		})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -67,8 +67,8 @@
 	// faster fails its requests at once, and would get most of them, or its report is false.
 	maxLead = 2
 	// riskWeight is what a request that is certainly late costs, in target latencies. It counts
-	// only where the tail exceeds the target: a term for all requests cost 0.014 of the answers in
-	// time at a load of 1.0 (20 seeds).
+	// only where the tail exceeds the target: a term for all requests makes more of them late at
+	// full load.
 	riskWeight = 1
 	// tailShare is the share of requests that take longer than the tail time.
 	tailShare = 0.1
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"fmt"
 	"net/netip"
+	"time"
 
 	"pomeloway.example/pomeloway/datagram"
+	"pomeloway.example/pomeloway/standin"
 )
 
 // Services. Names of instances in heartbeats and settings files are the same.
@@ -51,17 +52,13 @@
 
 // configurationOf returns a version of the configuration as an operator writes it.
 func configurationOf(v int) map[string]any {
-	var routes []any
-	for i, a := range []datagram.Endpoint{feedAddress, urgentAddress, secondAddress, switchAddress, versionAddress(v)} {
-		r := map[string]any{"name": fmt.Sprintf("r%d", i), "host": a.IP.Addr().String(), "path-prefix": fmt.Sprintf("/%d/", a.Port),
-			"service": serviceIn(v, a), "priority": 1, "target-latency-ms": 400}
+	var rs []standin.Route
+	for _, a := range []datagram.Endpoint{feedAddress, urgentAddress, secondAddress, switchAddress, versionAddress(v)} {
+		r := standin.Route{Address: a.AddrPort(), Service: serviceIn(v, a), Priority: 1, TargetLatency: 400 * time.Millisecond}
 		if a == urgentAddress {
-			r["priority"], r["target-latency-ms"] = 0, 300
+			r.Priority, r.TargetLatency = 0, 300*time.Millisecond
 		}
-		routes = append(routes, r)
-	}
-	return map[string]any{
-		"version": v, "routes": routes,
-		"services": []any{map[string]any{"name": letters, "cold-per-s": coldRate}, map[string]any{"name": parcels, "cold-per-s": coldRate}},
+		rs = append(rs, r)
 	}
+	return standin.Configuration(v, rs, map[string]float64{letters: coldRate, parcels: coldRate})
 }
--- a/soak/excuses.go
+++ b/soak/excuses.go
@@ -56,7 +56,7 @@
 	// linkKinds are faults in which datagrams of a process are lost or late.
 	linkKinds = []Kind{kindDelay, kindDrop, kindCutIn, kindCutOut, kindSilence, kindRate, kindPair}
 	// loadKinds are loads that upstreams can't bear.
-	loadKinds = []Kind{kindOverload, kindLoud, kindLaggard}
+	loadKinds = []Kind{kindOverload, kindHeavy, kindLaggard}
 )
 
 // aftermath is how long after its end a fault still counts, if nothing narrower is said.
@@ -68,7 +68,7 @@
 
 // excuses are all there are. A check without an entry is never excused: services, requests
 // that run twice, cold starts, drains, the order of versions and the recovery depend on no
-// process that may be impaired, or are measured without faults.
+// process that may be impaired, or are checked while no fault is active.
 var excuses = []excuse{
 	{checkReset, muteKinds, ofPath, deathTime, 1500 * time.Millisecond,
 		"balancers can't tell an agent that answers nobody for this long from a dead one (docs/DATAGRAM.md, not solved)"},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -62,9 +62,9 @@
 	case kindOverload:
 		s.locked(func() { s.extraLoad = overloadRate })
 		return func() error { s.locked(func() { s.extraLoad = 0 }); return nil }, nil
-	case kindLoud:
-		s.locked(func() { s.loudLoad = loudRate })
-		return func() error { s.locked(func() { s.loudLoad = 0 }); return nil }, nil
+	case kindHeavy:
+		s.locked(func() { s.heavyLoad = heavyRate })
+		return func() error { s.locked(func() { s.heavyLoad = 0 }); return nil }, nil
 	}
 	return s.beginStore(f)
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -44,7 +44,7 @@
 	kindConfig   Kind = "configure"
 	kindOverload Kind = "overload"
 	kindLaggard  Kind = "slowUpstream"
-	kindLoud     Kind = "loudCaller"
+	kindHeavy    Kind = "heavyCaller"
 )
 
 // all is the target of faults that concern every process.
@@ -98,7 +98,7 @@
 	{kindConfig, 5, 100 * time.Millisecond, 200 * time.Millisecond, func(*shape) []string { return []string{all} }},
 	{kindOverload, 4, time.Second, 3 * time.Second, func(*shape) []string { return []string{all} }},
 	{kindLaggard, 2, time.Second, 5 * time.Second, (*shape).agentNames},
-	{kindLoud, 2, time.Second, 4 * time.Second, func(*shape) []string { return []string{all} }},
+	{kindHeavy, 2, time.Second, 4 * time.Second, func(*shape) []string { return []string{all} }},
 }
 
 // shape is the number of processes of a site.
@@ -194,7 +194,7 @@
 
 // exclusive are the kinds of which only one fault at a time makes sense, whatever its target:
 // with two zones out, or two kinds of changed load, the upstreams can't bear the load.
-var exclusive = []Kind{kindEvacuate, kindConfig, kindOverload, kindLoud}
+var exclusive = []Kind{kindEvacuate, kindConfig, kindOverload, kindHeavy}
 
 // lifeKinds end and restart an upstream.
 var lifeKinds = []Kind{kindDrain, kindCrash}
--- a/soak/site.go
+++ b/soak/site.go
@@ -97,7 +97,7 @@
 	outcomes   []outcome
 	over       bool // callers stop
 	extraLoad  int  // urgent requests per second of all callers, above the usual load
-	loudLoad   int  // of one caller
+	heavyLoad  int  // of one caller
 	zonesOut   map[string]time.Time
 	acceptedAt map[int]time.Time // by version
 	latest     map[processRun]evidence
@@ -296,7 +296,7 @@
 // probe asks a balancer whether it is ready until the context ends.
 func (s *site) probe(ctx context.Context, p *process) {
 	c := &http.Client{Timeout: readinessTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	url := fmt.Sprintf("http://%s/pomeloway/readiness", netip.AddrPortFrom(p.ip, s.ports.readiness))
+	url := standin.ReadinessURL(netip.AddrPortFrom(p.ip, s.ports.readiness))
 	t := time.NewTicker(readinessInterval)
 	defer t.Stop()
 	failed := failedProbes
@@ -324,7 +324,7 @@
 	probeRate    = 8
 	switchRate   = 4
 	overloadRate = 500 // urgent requests above the usual load; upstreams bear about 700 in all
-	loudRate     = 250
+	heavyRate    = 250
 	loadTick     = 10 * time.Millisecond
 )
 
@@ -357,7 +357,7 @@
 		s.locked(func() {
 			v := s.operator.version
 			begin("urgent", urgentRate+s.extraLoad, urgentAddress, classUrgent, nil)
-			begin("loud", s.loudLoad, urgentAddress, classUrgent, s.callers[0])
+			begin("heavy", s.heavyLoad, urgentAddress, classUrgent, s.callers[0])
 			begin("second", secondRate, secondAddress, classSecond, nil)
 			begin("switch", switchRate, switchAddress, classProbe, nil)
 			begin("current", probeRate, versionAddress(v), classProbe, nil)
--- a/soak/store.go
+++ b/soak/store.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,7 +25,7 @@
 
 	mu     sync.Mutex
 	faults map[Fault]bool
-	stale  map[string][]byte // answers to lists while reads are stale
+	stale  map[platform.Kind][]byte // answers to lists while reads are stale
 }
 
 // newFront listens for a process. The proxies listen at the address.
@@ -61,7 +60,7 @@
 }
 
 // begin adds a fault. Reads that are stale show what the store had before.
-func (f *front) begin(x Fault, before map[string][]byte) {
+func (f *front) begin(x Fault, before map[platform.Kind][]byte) {
 	switch x.Kind {
 	case kindMute:
 		f.link.add(x, impairment{drop: 1})
@@ -99,7 +98,7 @@
 	for x := range f.faults {
 		down, lose = down || x.Kind == kindDown, lose || x.Kind == kindLose
 	}
-	stale := f.stale[strings.TrimPrefix(r.URL.Path, "/pomeloway/objects/")]
+	stale := f.stale[standin.ListedKind(r)]
 	f.mu.Unlock()
 	switch {
 	case down:
@@ -132,7 +131,7 @@
 	client  *platform.Client
 	version int
 	at      platform.Revision
-	before  map[string][]byte // answers to lists before the latest change, by kind
+	before  map[platform.Kind][]byte // answers to lists before the latest change, by kind
 }
 
 // newOperator returns an operator whose calls to the store always arrive.
@@ -142,11 +141,9 @@
 
 // remember notes what the store has.
 func (o *operator) remember() {
-	o.before = map[string][]byte{}
+	o.before = map[platform.Kind][]byte{}
 	for _, k := range []platform.Kind{platform.KindConfiguration, platform.KindEvacuation} {
-		a := httptest.NewRecorder()
-		o.store.ServeHTTP(a, httptest.NewRequest(http.MethodGet, "/pomeloway/objects/"+string(k), nil))
-		o.before[string(k)] = a.Body.Bytes()
+		o.before[k] = o.store.List(k)
 	}
 }
 
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +13,7 @@
 
 	"pomeloway.example/pomeloway/datagram"
 	"pomeloway.example/pomeloway/platform"
+	"pomeloway.example/pomeloway/standin"
 )
 
 const (
@@ -169,17 +168,13 @@
 			return
 		}
 		u.sequence++
-		state := "ready"
-		if draining {
-			state = "draining"
+		h := standin.Heartbeat{
+			Service: u.vm.service, Address: netip.AddrPortFrom(u.vm.ip, u.s.ports.app), Slots: upstreamSlots,
+			Draining: draining, Sequence: u.sequence, Born: u.born, Cold: time.Until(u.coldUntil),
 		}
-		body, _ := json.Marshal(map[string]any{
-			"service": u.vm.service, "address": netip.AddrPortFrom(u.vm.ip, u.s.ports.app).String(), "slots": upstreamSlots,
-			"state": state, "sequence": u.sequence, "born": u.born, "cold-remaining-ms": max(0, time.Until(u.coldUntil).Seconds()*1000),
-		})
 		u.s.mu.Unlock()
 		pause := heartbeatRetry
-		if u.post("heartbeat", body) {
+		if u.post(standin.CallHeartbeat, h.Encode()) {
 			pause = heartbeatInterval
 			u.acknowledged(life, draining)
 		}
@@ -202,7 +197,7 @@
 
 // post calls the agent and reports whether it acknowledged.
 func (u *upstream) post(call string, body []byte) bool {
-	a := fmt.Sprintf("http://%s/pomeloway/instances/i-%s/%s", netip.AddrPortFrom(u.vm.ip, u.s.ports.control), u.vm.name, call)
+	a := standin.UpstreamURL(netip.AddrPortFrom(u.vm.ip, u.s.ports.control), "i-"+u.vm.name, call)
 	r, err := u.http.Post(a, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
