Derive an agent's periods from the deployment's heartbeat interval

Cause: nothing read heartbeat-ms. The time in which an upstream announces itself after the agent's start, and the age of flows that a restarted upstream may hold, hung on the same number.

Flows opened before the first announcement of a restarted upstream are kept up to its age, bounded by an interval, so that a clock that jumps resets none of them. Whether an agent has no upstream is the agent's to say; balancers no longer compare its uptime with a number of their own.

--- a/datagram/absence.go
+++ b/datagram/absence.go
@@ -13,13 +13,11 @@
 // endpoint is not used, because a call to it takes a slot and its answer is misleading.
 
 const (
-	// announcementTimeout is two of the upstream's announcement intervals.
-	announcementTimeout = 1540 * time.Millisecond
 	// muteTimeout is how long an upstream must have sent nothing for a caller's
 	// retransmission to raise a suspicion. It is shorter than the time after which callers
 	// retransmit.
 	muteTimeout = 100 * time.Millisecond
-	// probeInterval is the time between probes while the suspicion lasts.
+	// probeInterval is the time between probes while the upstream does not answer packets.
 	probeInterval = 250 * time.Millisecond
 )
 
@@ -34,12 +32,28 @@
 	case UpstreamAbsent:
 		return false
 	}
-	return u.callerRetransmitted || u.isSilent(now) || now-u.announcedAt > announcementTimeout
+	return u.callerRetransmitted || u.isSilent(now) || a.announcementsMissing(now)
+}
+
+// announcementsMissing reports whether the upstream has announced itself before, but not
+// recently.
+func (a *Agent) announcementsMissing(now time.Duration) bool {
+	u := &a.upstream
+	return u.state != UpstreamUnknown && now-u.announcedAt > a.Heartbeat.timeout()
+}
+
+// currentProbeInterval returns the time between two probes.
+func (a *Agent) currentProbeInterval(now time.Duration) time.Duration {
+	u := &a.upstream
+	if !u.callerRetransmitted && !u.isSilent(now) && a.announcementsMissing(now) {
+		return a.Heartbeat.probeInterval()
+	}
+	return probeInterval
 }
 
 // probe starts a connection attempt to the upstream's address if a crash is suspected.
 func (a *Agent) probe(now time.Duration) {
-	if a.Probe == nil || a.probing || a.lastProbe != 0 && now-a.lastProbe < probeInterval || !a.mayHaveCrashed(now) {
+	if a.Probe == nil || a.probing || a.lastProbe != 0 && now-a.lastProbe < a.currentProbeInterval(now) || !a.mayHaveCrashed(now) {
 		return
 	}
 	a.probing, a.lastProbe = true, now
@@ -105,7 +119,3 @@
 	}
 	a.recount(now)
 }
-
-// announcementDelay is how long an upstream may take flows before its announcement arrives.
-// Its attempts are at most one second apart.
-const announcementDelay = time.Second
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -44,6 +44,8 @@
 	// availability zone, that is, one that operators took out of service; 0 means
 	// defaultEvacuation.
 	Evacuation time.Duration
+	// Heartbeat is the time between two announcements of the upstream.
+	Heartbeat HeartbeatInterval
 	// Probe, if not nil, starts a connection attempt to the upstream's address; its result
 	// is passed to HandleProbeResult. It must not block.
 	Probe func()
@@ -185,7 +187,7 @@
 		return true
 	}
 	if reborn {
-		a.endFlows(now-announcementDelay, now)
+		a.endFlows(now-a.Heartbeat.startDelay(n.Age), now)
 	}
 	if a.upstream.state != previous || reborn {
 		a.Log.upstreamChanged(&a.upstream, reborn)
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -221,7 +221,7 @@
 func (a *agentView) holdsNoFlows() bool {
 	s := &a.status
 	return s.State == UpstreamGone || s.State == UpstreamAbsent ||
-		s.State == UpstreamUnknown && s.KnowsAll && s.Uptime.Duration() > firstAnnouncementTimeout
+		s.State == UpstreamUnknown && s.KnowsAll
 }
 
 // mayBeAlive reports whether an agent that is silent may still hold flows, which is so
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -207,17 +207,14 @@
 }
 
 // knowsAllFlows reports whether the agent knows every flow of its upstream, so that it can
-// deny an unknown flow without forwarding a packet of it.
+// deny an unknown flow without forwarding a packet of it. If the upstream does not announce
+// itself after the agent's start, and nothing accepts a connection at its address, there is
+// no upstream.
 func (a *Agent) knowsAllFlows(now time.Duration) bool {
 	return a.upstream.allFlowsKnown || now > maxFlowLifetime ||
-		a.upstream.state == UpstreamUnknown && !a.upstream.hasSent && !a.upstream.listens && now > firstAnnouncementTimeout
+		a.upstream.state == UpstreamUnknown && !a.upstream.hasSent && !a.upstream.listens && now > a.Heartbeat.firstTimeout()
 }
 
-// firstAnnouncementTimeout is the time after the start of an agent within which a live
-// upstream announces itself; it covers several announcement intervals. If nothing accepts a
-// connection at the upstream's address either, there is no upstream.
-const firstAnnouncementTimeout = 2 * time.Second
-
 // trackCallerPacket updates the flow from a packet of the caller. It reports whether the packet
 // is the last one of a request.
 //
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -105,10 +105,10 @@
 		"draining":                               {AgentStatus{State: UpstreamDraining}, 2 * time.Second, maxUnanswered - 1, true},
 		"deregistered":                           {AgentStatus{State: UpstreamGone}, 2 * time.Second, 0, false},
 		"never announced": {AgentStatus{
-			State: UpstreamUnknown, KnowsAll: true, Uptime: MillisOf(firstAnnouncementTimeout + time.Second),
+			State: UpstreamUnknown, KnowsAll: true, Uptime: MillisOf(3 * time.Second),
 		}, 2 * time.Second, 0, false},
 		"never announced, listens": {AgentStatus{
-			State: UpstreamUnknown, Uptime: MillisOf(firstAnnouncementTimeout + time.Second),
+			State: UpstreamUnknown, Uptime: MillisOf(3 * time.Second),
 		}, 2 * time.Second, 0, true},
 		"not announced, agent just restarted": {AgentStatus{
 			State: UpstreamUnknown, Uptime: MillisOf(time.Second),
@@ -196,7 +196,7 @@
 		"listens, bounces":            {ProbeAccepted, false, true, start, 0, KindNotHeld},
 		"announced, does not bounce":  {ProbeUnanswered, true, false, start, 0, KindHeld},
 		"may not run":                 {ProbeUnanswered, false, false, start, KindNotHeld, 0},
-		"announced long ago, crashed": {ProbeUnanswered, true, false, start + announcementTimeout, 0, 0},
+		"announced long ago, crashed": {ProbeUnanswered, true, false, start + defaultHeartbeatInterval.timeout(), 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, s := newLookupAgent(t)
--- a/datagram/silence_test.go
+++ b/datagram/silence_test.go
@@ -252,7 +252,7 @@
 			a.AddBalancer(testSelf, 0)
 			a.Tick(time.Millisecond)
 			a.HandleProbeResult(x.probe, 2*time.Millisecond)
-			now := firstAnnouncementTimeout + time.Second
+			now := a.Heartbeat.firstTimeout() + time.Second
 			if a.knowsAllFlows(now) != x.want {
 				t.Errorf("agent claims to know all flows: %t", !x.want)
 			}
--- a/datagram/upstream_test.go
+++ b/datagram/upstream_test.go
@@ -50,7 +50,7 @@
 			for i := range x.announcements {
 				a.upstream.apply(&x.announcements[i], 100*time.Millisecond)
 			}
-			if a.knowsAllFlows(firstAnnouncementTimeout) != x.want {
+			if a.knowsAllFlows(a.Heartbeat.firstTimeout()) != x.want {
 				t.Errorf("knows all flows: %t", !x.want)
 			}
 		})
--- a/experiment/process.go
+++ b/experiment/process.go
@@ -128,6 +128,7 @@
 	drainRecorded bool // the store has a record that the upstream drains
 	startedAt     time.Duration
 	life          int // increases with each start and stop of the agent
+	probes        int // connections to the upstream that the agent has begun
 }
 
 // ToProcess sends a message to another VM of the fleet.
@@ -162,9 +163,10 @@
 	}
 	w := v.w
 	v.up, v.startedAt, v.life = true, w.now, v.life+1
-	v.a = &datagram.Agent{Life: w.newLife(), Service: v.service, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, BusyAt: w.busyAt, Admission: w.admission}
+	v.a = &datagram.Agent{Life: w.newLife(), Service: v.service, Zone: datagram.ZoneKeyOf(v.zone), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, BusyAt: w.busyAt, Admission: w.admission, Heartbeat: datagram.HeartbeatInterval(w.heartbeat)}
 	life := v.life
 	v.a.Probe = func() {
+		v.probes++
 		w.after(time.Millisecond, func() {
 			if v.life == life {
 				p := datagram.ProbeRefused
--- a/experiment/upstream.go
+++ b/experiment/upstream.go
@@ -60,7 +60,10 @@
 	}
 }
 
-// sendHeartbeat sends a heartbeat to the agent every 770 ms, or retries after 50 ms while
+// defaultHeartbeat is the interval of the heartbeats.
+const defaultHeartbeat = 770 * time.Millisecond
+
+// sendHeartbeat sends a heartbeat to the agent at each interval, or retries after 50 ms while
 // the agent is down.
 func (u *upstream) sendHeartbeat(born int64) {
 	if !u.alive || u.born != born {
@@ -73,11 +76,12 @@
 	}
 	u.vm.a.HandleAnnouncement(&datagram.Announcement{
 		ID: "i", Service: u.vm.service, Draining: u.draining, Slots: u.slots, Born: u.born, Sequence: u.sequence, Age: u.w.now - u.startedAt,
+		Cold: max(0, u.startedAt+u.w.coldStart-u.w.now),
 	}, u.w.now-u.vm.startedAt)
 	if u.draining && u.drainAckedAt == 0 {
 		u.drainAckedAt = u.w.now
 	}
-	u.w.after(770*time.Millisecond, func() { u.sendHeartbeat(born) })
+	u.w.after(cmp.Or(u.w.heartbeat, defaultHeartbeat), func() { u.sendHeartbeat(born) })
 }
 
 const (
--- a/node/agent.go
+++ b/node/agent.go
@@ -52,6 +52,7 @@
 	a.agent = &datagram.Agent{
 		Life: b.life, Service: datagram.ServiceKeyOf(b.settings.Service), Zone: datagram.ZoneKeyOf(b.settings.Zone),
 		Format: platform.PacketFormat{}, Out: a, Keys: b.keys, Log: &datagram.Log{Log: b.log, MaxLines: o.Lines}, Observe: b.observe, Evacuation: b.settings.Evacuation,
+		Heartbeat: datagram.HeartbeatInterval(b.settings.Heartbeat),
 		Admission: o.admission(),
 	}
 	a.agent.Probe = func() { go a.probe() }
@@ -129,7 +130,7 @@
 // Run serves until stopped is done, then notifies the balancers and returns.
 func (a *Agent) Run(stopped context.Context) error {
 	defer a.cancel()
-	a.log.Add(events.Started, slog.String("role", string(a.role)), slog.Uint64("life", uint64(a.life)))
+	a.log.Add(events.Started, slog.String("role", string(a.role)), slog.Uint64("life", uint64(a.life)), slog.Duration("heartbeat", a.settings.Heartbeat))
 	var g run.Group
 	addLog(&g, a.log)
 	g.Add(func() error { return a.loop.run(a.ctx, a) }, func(error) { a.cancel() })
@@ -186,11 +187,12 @@
 	}
 }
 
-// applySettings updates the store's address from the settings and adds the seeds as
-// balancers, to which the agent sends its status.
+// applySettings updates the store's address and the interval of heartbeats from the settings
+// and adds the seeds as balancers, to which the agent sends its status.
 func (a *Agent) applySettings(s *platform.Settings) {
 	a.store.updateAddress(s)
 	a.loop.do(a.ctx, func(now time.Duration) {
+		a.agent.Heartbeat = datagram.HeartbeatInterval(s.Heartbeat)
 		for _, x := range s.Seeds {
 			a.agent.AddBalancer(datagram.IPOf(x.Addr()), now)
 		}
