Register flows at a reserve home in another availability zone

Cause: a flow has two homes, and both have to be sure before its caller is told that it is gone. While an availability zone is away, 36% of all flows have a home in it, and that stays a home for three far intervals: 45 s at 304 balancers, 60 s at 400. An agent whose near balancers are all in its own zone is missed by nobody when that zone goes (0.8% of all agents, so more often than not one of a zone's 137), and no home is then sure.

Change: flows are also registered at a balancer in another zone than their homes, or at two if both homes are in one zone. It is asked if a home does not answer, and at once if that home left the last question unanswered; two sure answers of these prove what both homes proved before. Balancers' statuses carry their zone, agents say that they register at reserve homes, and both are ignored by the build before, whose agents' flows no reserve home claims to know. A holder that is gone is not asked first. One of the balancers near a member is outside of its zone.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -112,6 +112,7 @@
 
 type balancerView struct {
 	life               Life
+	zone               ZoneKey // 0: not known
 	lastSeen, lastSent time.Duration
 	// expectedInterval is the time within which the balancer expects the next status.
 	expectedInterval time.Duration
@@ -232,7 +233,7 @@
 	case KindPacket:
 		a.handlePacket(from, h, m, now)
 	case KindBalancer:
-		a.handleBalancerStatus(from, p, now)
+		a.handleBalancerStatus(from, h.Zone, p, now)
 	case KindResend:
 		a.AddBalancer(from, now)
 		a.resendEntries(from)
@@ -240,7 +241,7 @@
 	}
 }
 
-func (a *Agent) handleBalancerStatus(from IP, p []byte, now time.Duration) {
+func (a *Agent) handleBalancerStatus(from IP, zone ZoneKey, p []byte, now time.Duration) {
 	var s BalancerStatus
 	if !s.decode(p) {
 		a.Count.BadMessages++
@@ -248,6 +249,7 @@
 	}
 	a.AddBalancer(from, now)
 	b := a.balancers[from]
+	b.zone = zone
 	if b.lastSeen = now; b.life != s.Life {
 		// The balancer has just started and knows no agent. Until the next status it could
 		// not route to this agent, nor report that a flow is gone.
@@ -353,8 +355,8 @@
 // consider the agent silent until its next status is due as a far one.
 func (a *Agent) sendDueStatuses(now, nearAfter, farAfter time.Duration) {
 	a.lastStatus = now
-	nearby := highestRanked(uint64(a.Life), slices.Collect(maps.Keys(a.balancers)),
-		nearBalancerCount(a.agentCount, len(a.balancers)))
+	nearby := nearMembers(uint64(a.Life), slices.Collect(maps.Keys(a.balancers)),
+		nearBalancerCount(a.agentCount, len(a.balancers)), a.Zone, a.zoneOf)
 	if d := digestOf(nearby); d != a.nearDigest {
 		a.nearDigest = d
 		a.Log.nearChanged(len(nearby), len(a.balancers), a.agentCount)
@@ -395,7 +397,7 @@
 	if withHomes && len(a.homes.ips) <= maxHomesListed {
 		m = appendIPs(append(m, byte(len(a.homes.ips))), a.homes.ips)
 	}
-	h := Message{Kind: KindAgent, Service: a.Service, Report: a.loadReport(now)}
+	h := Message{Kind: KindAgent, Flags: FlagReserveHomes, Service: a.Service, Report: a.loadReport(now)}
 	h.Put(m, a.Keys[0])
 	return m
 }
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -49,9 +49,11 @@
 	// priority.
 	declinedAt    [priorityEnd]time.Duration
 	previousLives [4]Life
-	slow          bool          // its upstream is slower than the others
-	speedNoted    time.Duration // service time when slow was last set, and when that was
-	speedNotedAt  time.Duration
+	// usesReserveHomes: it registers its flows at their reserve homes too.
+	usesReserveHomes bool
+	slow             bool          // its upstream is slower than the others
+	speedNoted       time.Duration // service time when slow was last set, and when that was
+	speedNotedAt     time.Duration
 }
 
 // class groups agents for openings; agents of a lower class are tried first.
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -126,7 +126,7 @@
 	b.flows = newTable[flowLocation](locationRotationInterval, maxLocations)
 	b.admissions = map[ServiceKey]*serviceAdmission{}
 	b.openings, b.transfers = newOpenings(), newTransfers(b.Bandwidth)
-	b.homes = newHomeSet([]IP{b.Self})
+	b.homes = newHomeSet([]IP{b.Self}, b.zoneOf)
 	b.directory = newDirectory()
 	if b.LookupRate == 0 {
 		b.LookupRate = defaultLookupRate
@@ -295,12 +295,14 @@
 	b.detectPause(now)
 	if h.Kind.isFromAgent() {
 		b.lastAgentMessage = now
+	} else if p := b.peers[from]; p != nil {
+		p.unanswered = false
 	}
 	switch h.Kind {
 	case KindAgent:
 		b.handleAgentStatus(from, h, p, now)
 	case KindBalancer:
-		b.handleBalancerStatus(from, p, now)
+		b.handleBalancerStatus(from, h.Zone, p, now)
 	case KindSilent:
 		b.handleSilent(p, now)
 	case KindOpened:
--- a/datagram/bench_test.go
+++ b/datagram/bench_test.go
@@ -133,7 +133,7 @@
 		for ip := range IP(400) {
 			ips = append(ips, 1000+ip)
 		}
-		x.homes = newHomeSet(append(ips, x.Self))
+		x.homes = newHomeSet(append(ips, x.Self), nil)
 		for ip := range IP(n) {
 			x.agents.applyStatus(ip+1, AgentStatus{
 				Life: Life(ip + 1), Sequence: 2, Service: 7, State: UpstreamReady, KnowsAll: true, Homes: x.homes.digest,
--- a/datagram/cadence.go
+++ b/datagram/cadence.go
@@ -91,6 +91,21 @@
 	return ips[:n]
 }
 
+// nearMembers returns the n members near a member: those that rank highest for its key. If all of
+// these are in its own availability zone, one elsewhere replaces the last, so that a member that
+// fails together with its zone is missed by somebody near it.
+func nearMembers(key uint64, ips []IP, n int, own ZoneKey, zoneOf func(IP) ZoneKey) []IP {
+	near := highestRanked(key, ips, n)
+	inOwnZone := func(ip IP) bool { return zoneOf(ip) == own }
+	if n >= len(ips) || len(near) == 0 || own == 0 || slices.ContainsFunc(near, func(ip IP) bool { return !inOwnZone(ip) }) {
+		return near
+	}
+	if i := slices.IndexFunc(ips[n:], func(ip IP) bool { return !inOwnZone(ip) }); i >= 0 {
+		near[n-1], ips[n+i] = ips[n+i], near[n-1]
+	}
+	return near
+}
+
 // score returns the rendezvous hashing weight of an address for a key, which is the same in
 // every process.
 func score(key uint64, ip IP) uint64 { return fleet.Mix(key, fleet.Mix(uint64(ip), 0)) }
--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -44,17 +44,23 @@
 	// the other agents choose homes.
 	uncovered []IP
 	homeSets  []homeSet
+	// reserves is set if all of these agents register their flows at reserve homes too.
+	reserves bool
 }
 
 // covers reports whether the home would know the flow if any agent held it, other than the
 // uncovered ones.
 func (c *coverage) covers(f Flow, home IP) bool {
+	if !c.complete {
+		return false
+	}
 	for i := range c.homeSets {
-		if !c.homeSets[i].choose(f).has(home) {
+		r := c.homeSets[i].registration(f)
+		if at := r.index(home); at < 0 || at >= firstReserve && !c.reserves {
 			return false
 		}
 	}
-	return c.complete
+	return true
 }
 
 func newDirectory() directory {
@@ -215,7 +221,7 @@
 	d := &b.directory
 	c := &d.coverage
 	if c.computedAt == 0 || now-c.computedAt >= coverageInterval {
-		*c = coverage{computedAt: now, uncovered: c.uncovered[:0], homeSets: c.homeSets[:0]}
+		*c = coverage{computedAt: now, uncovered: c.uncovered[:0], homeSets: c.homeSets[:0], reserves: true}
 		c.complete = b.membersRead && !b.lostPeers(now) &&
 			(d.droppedAt == 0 || now-d.droppedAt > 2*directoryInterval) && b.computeCoverage(c, now)
 		if !c.complete {
@@ -246,6 +252,8 @@
 			c.uncovered = append(c.uncovered, ip)
 		case !a.knowsHomes(&b.homes), !d.trackers[ip].isComplete(&a.status), !c.add(a.homes):
 			return false
+		default:
+			c.reserves = c.reserves && a.usesReserveHomes
 		}
 	}
 	return 2*unreachable <= len(b.agents.byIP)
--- a/datagram/directory_test.go
+++ b/datagram/directory_test.go
@@ -16,10 +16,10 @@
 	for i := range ips {
 		ips[i] = IP(i + 1)
 	}
-	s := newHomeSet(slices.Clone(ips))
+	s := newHomeSet(slices.Clone(ips), nil)
 	rand.New(rand.NewPCG(1, 1)).Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
-	o := newHomeSet(ips)
-	fewer := newHomeSet(slices.DeleteFunc(slices.Clone(ips), func(ip IP) bool { return ip == 7 }))
+	o := newHomeSet(ips, nil)
+	fewer := newHomeSet(slices.DeleteFunc(slices.Clone(ips), func(ip IP) bool { return ip == 7 }), nil)
 	if s.digest != o.digest || s.digest == fewer.digest {
 		t.Error("equal sets must have equal digests, different sets different ones")
 	}
@@ -242,17 +242,17 @@
 		for _, v := range a.balancers {
 			n += int(v.entries)
 		}
-		if n < 2*100 {
-			t.Errorf("%d entries sent for 100 flows with two homes each", n)
+		if n < 3*100 {
+			t.Errorf("%d entries sent for 100 flows with two homes and a reserve home each", n)
 		}
 	}
-	checkHomes(newHomeSet([]IP{101, 102, 103, 104}))
+	checkHomes(newHomeSet([]IP{101, 102, 103, 104}, nil))
 	receive(105)
 	now += homesUpdateDelay
 	a.Tick(now)
-	checkHomes(newHomeSet([]IP{101, 102, 103, 104, 105}))
-	if n := a.balancers[105].entries; n < 20 || n > 60 {
-		t.Errorf("the fifth balancer got entries of %d of 100 flows, want about 40", n)
+	checkHomes(newHomeSet([]IP{101, 102, 103, 104, 105}, nil))
+	if n := a.balancers[105].entries; n < 40 || n > 80 {
+		t.Errorf("the fifth balancer got entries of %d of 100 flows, want about 60", n)
 	}
 	before := a.balancers[101].entries
 	now += minHomeTimeout + time.Second
@@ -261,7 +261,7 @@
 	}
 	a.Tick(now)
 	a.Tick(now + StatusInterval)
-	checkHomes(newHomeSet([]IP{101, 102, 103, 104}))
+	checkHomes(newHomeSet([]IP{101, 102, 103, 104}, nil))
 	if a.balancers[101].entries == before {
 		t.Error("a remaining balancer got no entries for the flows of a removed one")
 	}
@@ -293,7 +293,7 @@
 	case KindAgent:
 		var s AgentStatus
 		if ips, ok := s.decodeWithHomes(p); ok && len(ips) > 0 {
-			o.sets[to] = newHomeSet(ips)
+			o.sets[to] = newHomeSet(ips, nil)
 		}
 	case KindEntries:
 		if o.flows[to] == nil {
@@ -343,7 +343,7 @@
 		}
 		for b, s := range o.sets {
 			for p := uint16(1); p <= port; p++ {
-				if s.choose(testFlow(p)).has(b) && !o.flows[b][testFlow(p)] {
+				if r := s.registration(testFlow(p)); r.index(b) >= 0 && !o.flows[b][testFlow(p)] {
 					t.Fatalf("after %d balancers, %v is a home of flow %d in its set of %d balancers, but got no entry",
 						ip-100, b, p, len(s.ips))
 				}
--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -57,11 +57,12 @@
 	due           time.Duration // when the next step is due
 	interval      time.Duration // interval before the next round
 	round         int
-	homes         homes
-	awaitingHomes bool               // the homes were asked in this round and may still answer
-	homeAnswered  [homesPerFlow]bool // the home has answered
+	homes         registration
+	awaitingHomes bool                      // the homes were asked in this round and may still answer
+	reservesAsked bool                      // the reserve homes were asked in this round
+	homeAnswered  [len(registration{})]bool // the home has answered
 	// authoritative is set for a home that knows the flows of all agents but the uncovered.
-	authoritative [homesPerFlow]bool
+	authoritative [len(registration{})]bool
 	holders       []IP // agents that homes named
 	uncovered     []IP // agents whose flows the homes do not know completely
 	heard         []IP // agents that a home hears, so that silence here proves nothing
@@ -158,27 +159,89 @@
 	l.asked = slices.DeleteFunc(l.asked, func(ip IP) bool {
 		return !slices.Contains(l.denied, ip) && (slices.Contains(l.holders, ip) || !slices.Contains(l.answered, ip))
 	})
-	l.homes = b.homes.choose(l.flow)
-	l.homeAnswered, l.authoritative, l.uncovered, l.heard = [homesPerFlow]bool{}, [homesPerFlow]bool{}, nil, nil
+	l.homes = b.homes.registration(l.flow)
+	clear(l.homeAnswered[:])
+	clear(l.authoritative[:])
+	l.reservesAsked, l.uncovered, l.heard = false, nil, nil
+	for i := range homesPerFlow {
+		b.askHome(l, i, now)
+	}
+	if b.expectsSilence(l) {
+		b.askReserves(l, now)
+	}
+	b.advance(l, now)
+}
+
+// askHome asks the i-th home which agents hold the flow.
+func (b *Balancer) askHome(l *lookup, i int, now time.Duration) {
 	b.lookups.schedule(l, now+homeAnswerTimeout)
-	for i, ip := range l.homes {
-		switch {
-		case ip == 0:
-			l.homeAnswered[i], l.authoritative[i] = true, i > 0
-		case ip == b.Self:
-			c := b.coverage(now)
-			x, _ := b.directory.flows.get(l.flow)
-			l.addHomeAnswer(i, x.list(), c.uncovered, c.covers(l.flow, b.Self))
-		default:
-			b.askHome(l, ip)
+	switch ip := l.homes[i]; ip {
+	case 0:
+		l.homeAnswered[i], l.authoritative[i] = true, i > 0
+	case b.Self:
+		c := b.coverage(now)
+		x, _ := b.directory.flows.get(l.flow)
+		l.addHomeAnswer(i, x.list(), c.uncovered, c.covers(l.flow, b.Self))
+	default:
+		b.send(appendFlow(b.scratch[:HeaderLen], l.flow), Message{Kind: KindLocate}, ip)
+	}
+}
+
+// awaitsHomes reports whether a home that was asked in this round may still answer, and whether
+// its answer matters. If a home has not answered in time, it asks the reserve homes.
+func (b *Balancer) awaitsHomes(l *lookup, now time.Duration) bool {
+	if !l.awaitingHomes || l.homesAgree() {
+		return false
+	}
+	silent := slices.Contains(l.homeAnswered[:firstReserve], false)
+	if now >= l.due && silent && !l.reservesAsked {
+		b.noteSilentHomes(l)
+		b.askReserves(l, now)
+	}
+	return now < l.due && (silent || l.reservesAsked && slices.Contains(l.homeAnswered[firstReserve:], false)) && !l.homesAgree()
+}
+
+// askReserves asks the reserve homes.
+func (b *Balancer) askReserves(l *lookup, now time.Duration) {
+	l.reservesAsked = true
+	for i := firstReserve; i < len(l.homes); i++ {
+		if l.homes[i] == 0 {
+			l.homeAnswered[i] = true
+			continue
 		}
+		b.askHome(l, i, now)
 	}
-	b.advance(l, now)
 }
 
-// askHome asks one home which agents hold the flow.
-func (b *Balancer) askHome(l *lookup, ip IP) {
-	b.send(appendFlow(b.scratch[:HeaderLen], l.flow), Message{Kind: KindLocate}, ip)
+// noteSilentHomes records the homes that have not answered, so that the next lookups ask their
+// reserve homes at once.
+func (b *Balancer) noteSilentHomes(l *lookup) {
+	for i, ip := range l.homes[:firstReserve] {
+		if p := b.peers[ip]; p != nil && !l.homeAnswered[i] {
+			p.unanswered = true
+		}
+	}
+}
+
+// expectsSilence reports whether a home of the flow left the last question unanswered.
+func (b *Balancer) expectsSilence(l *lookup) bool {
+	return slices.ContainsFunc(l.homes[:firstReserve], func(ip IP) bool {
+		p := b.peers[ip]
+		return p != nil && p.unanswered
+	})
+}
+
+// homesAgree reports whether enough homes are authoritative to prove that no other agent than
+// those named holds the flow. A single one does not suffice, as the registration there may have
+// been lost.
+func (l *lookup) homesAgree() bool {
+	n := 0
+	for _, ok := range l.authoritative {
+		if ok {
+			n++
+		}
+	}
+	return n >= homesPerFlow
 }
 
 // takeBudget reports whether the budget allows another lookup message, and uses it up.
@@ -210,7 +273,7 @@
 		if l == nil || len(ls) > 1 {
 			continue // a lookup asks about one flow; only such an answer says whom the home hears
 		}
-		if i := slices.Index(l.homes[:], from); i >= 0 {
+		if i := l.homes.index(from); i >= 0 {
 			l.heard = append(l.heard, selectByBits(x.holders, uint32(h.Requests))...)
 			l.heard = append(l.heard, selectByBits(uncovered, h.Opening)...)
 			l.addHomeAnswer(i, x.holders, uncovered, x.authoritative)
@@ -224,11 +287,15 @@
 	if l.pendingAgent != 0 {
 		return
 	}
-	if ip := l.nextHolder(); ip != 0 {
+	if ip := b.nextHolder(l, now); ip != 0 {
 		b.askAgent(l, ip, now)
 		return
 	}
-	if l.awaitingHomes && slices.Contains(l.homeAnswered[:], false) && now < l.due {
+	if b.awaitsHomes(l, now) {
+		return
+	}
+	if ip := b.nextHolder(l, now); ip != 0 { // this balancer is a reserve home
+		b.askAgent(l, ip, now)
 		return
 	}
 	l.awaitingHomes = false
@@ -253,23 +320,23 @@
 	l.interval = min(2*l.interval, maxRoundInterval)
 }
 
-// nextHolder returns an agent that a home named and that was not asked yet, or 0.
-func (l *lookup) nextHolder() IP {
+// nextHolder returns an agent that a home named and that was not asked yet, or 0. One that is
+// considered gone is not asked, unless a home hears it.
+func (b *Balancer) nextHolder(l *lookup, now time.Duration) IP {
 	for _, ip := range l.holders {
-		if !slices.Contains(l.asked, ip) {
+		if !slices.Contains(l.asked, ip) && !b.isGoneAgent(l, ip, now) {
 			return ip
 		}
 	}
 	return 0
 }
 
-// nextAgent returns the next agent to ask that no home named, or nil. If all homes are
-// authoritative, only uncovered agents are candidates. Before anyAgentRound, only agents
+// nextAgent returns the next agent to ask that no home named, or nil. If the homes agree, only uncovered agents are candidates. Before anyAgentRound, only agents
 // that do not know all flows of their upstreams are.
 func (b *Balancer) nextAgent(l *lookup, now time.Duration) *agentView {
-	authoritative := !slices.Contains(l.authoritative[:], false)
+	agree := l.homesAgree()
 	return b.bestAgent(l, now, func(a *agentView) bool {
-		return (!authoritative || slices.Contains(l.uncovered, a.ip)) && (l.round >= anyAgentRound || !a.status.KnowsAll)
+		return (!agree || slices.Contains(l.uncovered, a.ip)) && (l.round >= anyAgentRound || !a.status.KnowsAll)
 	})
 }
 
@@ -368,29 +435,34 @@
 // notFoundReason returns why the flow may still be open although it was not found.
 func (l *lookup) notFoundReason() Reason {
 	switch {
-	case slices.Contains(l.homeAnswered[:], false):
+	case l.homesAgree():
+		return ReasonAgentSilent
+	case slices.Contains(l.homeAnswered[:firstReserve], false):
 		return ReasonHomeSilent
-	case slices.Contains(l.authoritative[:], false):
-		return ReasonHomeUnsure
 	}
-	return ReasonAgentSilent
+	return ReasonHomeUnsure
 }
 
 // isGone reports whether it is proved that no agent holds the flow. An agent that only this
 // balancer does not hear may hold it: datagrams of the agent to this balancer are lost.
 func (b *Balancer) isGone(l *lookup, now time.Duration) bool {
-	if slices.Contains(l.authoritative[:], false) || l.callerReset {
+	if !l.homesAgree() || l.callerReset {
 		return false
 	}
 	for _, ip := range slices.Concat(l.holders, l.uncovered) {
-		a := b.agents.byIP[ip]
-		if !slices.Contains(l.denied, ip) && (a == nil || a.mayHoldFlows(now) || slices.Contains(l.heard, ip)) {
+		if !slices.Contains(l.denied, ip) && !b.isGoneAgent(l, ip, now) {
 			return false
 		}
 	}
 	return true
 }
 
+// isGoneAgent reports whether the agent is known to hold no flows, and no home hears it.
+func (b *Balancer) isGoneAgent(l *lookup, ip IP, now time.Duration) bool {
+	a := b.agents.byIP[ip]
+	return a != nil && !a.mayHoldFlows(now) && !slices.Contains(l.heard, ip)
+}
+
 // resetIfConnected resets the flow for its caller once a message from any agent has
 // arrived since the lookup began. Otherwise this balancer may have just been cut off
 // together with both homes, which then lack what agents reported since.
--- a/datagram/lookup_test.go
+++ b/datagram/lookup_test.go
@@ -389,7 +389,7 @@
 func TestHomeIsNotAuthoritativeForOtherHomeSets(t *testing.T) {
 	now := 10 * time.Second
 	b, _ := testBalancer(t, 3, now)
-	others := newHomeSet([]IP{testSelf, 101, 102, 103})
+	others := newHomeSet([]IP{testSelf, 101, 102, 103}, nil)
 	b.agents.byIP[2].homes, b.agents.byIP[2].status.Homes = others, others.digest
 	authoritative := 0
 	for port := range uint16(200) {
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -67,12 +67,15 @@
 	// Budget is set in openings: the time left to answer the flow's first request within its
 	// target latency.
 	Budget Budget
-	// Flags are set in openings, in lookups and in the answers to these.
+	// Flags are set in openings, in lookups and in the answers to these, and in statuses of agents.
 	Flags Flags
 	// Opening is the number that the balancer gave to this attempt to open a flow. In a message
 	// with one entry it is the number that a reset of the flow has to carry; 0: not known.
 	Opening uint32
 	Service ServiceKey
+	// Zone is set in statuses of balancers: the sender's availability zone. Earlier builds
+	// neither send nor read it.
+	Zone ZoneKey
 	// Cold is set in openings: the rate limit of new flows for an upstream in cold start.
 	Cold ColdRate
 	// Load is set in messages from agents: the number of flows and requests at the agent.
@@ -82,7 +85,8 @@
 	Report LoadReport
 }
 
-// Flags qualify an opening, or a packet that is sent to look up its flow and the answers to it.
+// Flags qualify an opening, a packet that is sent to look up its flow and the answers to it, or a
+// status of an agent.
 type Flags uint8
 
 const (
@@ -98,6 +102,9 @@
 	FlagKnownOnly
 	// FlagUrgent marks an opening of an urgent route.
 	FlagUrgent
+	// FlagReserveHomes marks the status of an agent that registers its flows at their reserve
+	// homes too, which earlier builds don't.
+	FlagReserveHomes
 )
 
 func (f Flags) has(x Flags) bool { return f&x != 0 }
@@ -174,7 +181,11 @@
 	default:
 		binary.BigEndian.PutUint16(b[6:], m.Load)
 	}
-	binary.BigEndian.PutUint64(b[12:], uint64(m.Service))
+	key := uint64(m.Service)
+	if m.Kind == KindBalancer {
+		key = uint64(m.Zone)
+	}
+	binary.BigEndian.PutUint64(b[12:], key)
 	binary.BigEndian.PutUint64(b[tagOffset:],
 		k.Tag(b[:tagOffset], b[HeaderLen:HeaderLen+m.Kind.authenticatedLen(len(b)-HeaderLen)]))
 }
@@ -203,7 +214,10 @@
 	default:
 		m.Requests, m.Load = b[4], binary.BigEndian.Uint16(b[6:])
 	}
-	m.Service = ServiceKey(binary.BigEndian.Uint64(b[12:]))
+	m.Service, m.Zone = ServiceKey(binary.BigEndian.Uint64(b[12:])), 0
+	if m.Kind == KindBalancer {
+		m.Service, m.Zone = 0, ZoneKey(m.Service)
+	}
 	return b[HeaderLen:], true
 }
 
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -10,10 +10,12 @@
 // peerView is a balancer's knowledge of another balancer.
 type peerView struct {
 	life               Life
+	zone               ZoneKey       // 0: not known
 	discovered         time.Duration // when it became known
 	lastSeen, lastSent time.Duration // last status received from it and sent to it; 0: never
 	detached           bool          // it reports that the store does not answer it
 	known              int           // how many balancers it knows
+	unanswered         bool          // it left the last question about a flow unanswered, and has sent nothing since
 	mismatch           homesMismatch
 }
 
@@ -32,7 +34,18 @@
 
 // updateHomes recomputes the balancers that are homes.
 func (b *Balancer) updateHomes(now time.Duration) {
-	b.homes = newHomeSet(b.balancersSeenWithin(homeTimeout(len(b.peers)+1), now))
+	b.homes = newHomeSet(b.balancersSeenWithin(homeTimeout(len(b.peers)+1), now), b.zoneOf)
+}
+
+// zoneOf returns a balancer's availability zone, or 0 if it is not known.
+func (b *Balancer) zoneOf(ip IP) ZoneKey {
+	if ip == b.Self {
+		return b.Zone
+	}
+	if p := b.peers[ip]; p != nil {
+		return p.zone
+	}
+	return 0
 }
 
 // aliveBalancers returns this balancer and those whose statuses arrive.
@@ -72,11 +85,12 @@
 	}
 	if a := b.agents.byIP[from]; a != nil && a.status.Life == s.Life && a.status.Sequence == s.Sequence {
 		a.updateReport(h.Report, now)
+		a.usesReserveHomes = h.Flags.has(FlagReserveHomes)
 		if len(ips) > 0 {
 			// Balancers that start together may read the member records before each other's are
 			// written. Their agents know all of them.
 			b.discoverPeers(ips, now)
-			a.homes = newHomeSet(ips)
+			a.homes = newHomeSet(ips, b.zoneOf)
 		}
 		b.checkEntries(from, &a.status, now)
 		b.lost.noteStatus(from, &a.status, b.directory.trackers[from].isComplete(&a.status), now)
@@ -84,7 +98,7 @@
 	}
 }
 
-func (b *Balancer) handleBalancerStatus(from IP, m []byte, now time.Duration) {
+func (b *Balancer) handleBalancerStatus(from IP, zone ZoneKey, m []byte, now time.Duration) {
 	var s BalancerStatus
 	if !s.decode(m) {
 		b.Count.BadMessages++
@@ -92,7 +106,7 @@
 	}
 	b.discoverPeer(from, now)
 	p := b.peers[from]
-	p.detached, p.known = s.Detached, int(s.Known)
+	p.zone, p.detached, p.known = zone, s.Detached, int(s.Known)
 	b.noteWatcher(&s, now)
 	if p.lastSeen = now; p.life != s.Life {
 		p.life = s.Life
@@ -267,7 +281,7 @@
 			b.Out.ToProcess(ip, m)
 		}
 	}
-	nearby := highestRanked(uint64(b.Self), slices.Collect(maps.Keys(b.peers)), nearPeerCount(len(b.peers)))
+	nearby := b.nearPeers()
 	for ip, p := range b.peers {
 		due := b.isFarStatusDue(ip, p.lastSent, farAfter, now)
 		if contains(nearby, ip) {
@@ -280,6 +294,11 @@
 	}
 }
 
+// nearPeers returns the balancers to which this balancer sends its status often.
+func (b *Balancer) nearPeers() []IP {
+	return nearMembers(uint64(b.Self), slices.Collect(maps.Keys(b.peers)), nearPeerCount(len(b.peers)), b.Zone, b.zoneOf)
+}
+
 // isFarStatusDue reports whether a status to a far balancer is due. The statuses to each one
 // have their own phase: if those of balancers that started together, or that all broadcast a
 // change, stayed in step, a balancer that is near to none would receive nothing in between.
@@ -339,7 +358,7 @@
 	}
 	s.Balancers = b.nextPeers(maxPeers)
 	m := s.append(b.scratch[:HeaderLen])
-	h := Message{Kind: KindBalancer}
+	h := Message{Kind: KindBalancer, Zone: b.Zone}
 	h.Put(m, b.Keys[0])
 	return m
 }
--- a/datagram/registrar.go
+++ b/datagram/registrar.go
@@ -76,16 +76,16 @@
 // homesOf returns all balancers that other processes may take for homes of the flow.
 func (a *Agent) homesOf(k Flow) []IP {
 	var ips []IP
-	add := func(h homes) {
-		for _, ip := range h {
+	add := func(r registration) {
+		for _, ip := range r {
 			if ip != 0 && !slices.Contains(ips, ip) {
 				ips = append(ips, ip)
 			}
 		}
 	}
-	add(a.homes.choose(k))
+	add(a.homes.registration(k))
 	for i := range a.previousHomes {
-		add(a.previousHomes[i].choose(k))
+		add(a.previousHomes[i].registration(k))
 	}
 	return ips
 }
@@ -140,7 +140,7 @@
 		}
 	}
 	old := a.homes
-	if a.homes = newHomeSet(ips); a.homes.equal(&old) {
+	if a.homes = newHomeSet(ips, a.zoneOf); a.homes.equal(&old) {
 		return
 	}
 	a.previousHomes = append(a.previousHomes[max(0, len(a.previousHomes)+1-maxPreviousHomes):],
@@ -151,9 +151,9 @@
 		if !a.needsRegistration(f) {
 			continue
 		}
-		before := old.choose(k)
-		for _, ip := range a.homes.choose(k) {
-			if ip != 0 && !before.has(ip) {
+		before := old.registration(k)
+		for _, ip := range a.homes.registration(k) {
+			if ip != 0 && before.index(ip) < 0 {
 				moved[ip] = append(moved[ip], k)
 			}
 		}
@@ -166,6 +166,14 @@
 	}
 }
 
+// zoneOf returns a balancer's availability zone, or 0 if it is not known.
+func (a *Agent) zoneOf(ip IP) ZoneKey {
+	if v := a.balancers[ip]; v != nil {
+		return v.zone
+	}
+	return 0
+}
+
 // scheduleHomesStatus schedules the statuses that send a new home set to all balancers.
 func (a *Agent) scheduleHomesStatus(now time.Duration) {
 	delay := homesSendDelay
--- a/experiment/process.go
+++ b/experiment/process.go
@@ -14,6 +14,7 @@
 type balancerVM struct {
 	machine
 	ip        datagram.IP
+	zone      datagram.ZoneKey // 0: none
 	b         *datagram.Balancer
 	up        bool
 	startedAt time.Duration
@@ -38,6 +39,9 @@
 // addBalancer adds a VM of the given size with a balancer, and starts it.
 func (w *simulation) addBalancer(n int, s size) *balancerVM {
 	v := &balancerVM{machine: machine{w: w, size: s}, ip: datagram.IP(0x0a000100 + n)}
+	if w.zones > 0 {
+		v.zone = datagram.ZoneKeyOf(zoneOfBalancer(n, w.zones))
+	}
 	w.balancers[v.ip] = v
 	w.members = append(w.members, datagram.Member{IP: v.ip})
 	v.start()
@@ -53,7 +57,7 @@
 	v.beginLife()
 	v.up, v.startedAt, v.nextTick = true, w.now, 0
 	v.frozen, v.pending = false, nil
-	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Format: platform.PacketFormat{}, Out: v, Keys: w.keys, Placement: w.placement, Admission: w.admission, AccountPrefix: w.accountPrefix, Clock: func() time.Duration { return w.now + v.clockError }, LookupRate: v.size.lookupRate()}
+	v.b = &datagram.Balancer{Self: v.ip, Life: w.newLife(), Zone: v.zone, Format: platform.PacketFormat{}, Out: v, Keys: w.keys, Placement: w.placement, Admission: w.admission, AccountPrefix: w.accountPrefix, Clock: func() time.Duration { return w.now + v.clockError }, LookupRate: v.size.lookupRate()}
 	v.b.Start()
 	life := v.life
 	w.after(cmp.Or(w.storeLatency, defaultStoreLatency), func() {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -145,6 +145,7 @@
 		return Day{}, err
 	}
 	w.placement, w.busyAt = p.placement()
+	w.zones = o.Zones
 	for i := range o.Balancers {
 		var s size
 		if i >= o.Balancers-o.Small {
--- a/experiment/script.go
+++ b/experiment/script.go
@@ -27,6 +27,7 @@
 //	AT power FOR        all VMs lose power; upstreams lose their flows
 //	AT kill FOR         all balancer and agent processes are down; upstreams keep running
 //	AT restart N FOR    N balancers are down
+//	AT lost ZONE FOR    an availability zone loses power; its upstreams lose their flows
 //	AT lose N           N upstream VMs are lost permanently
 //	AT crash N          N upstreams crash; their agents keep running
 //	AT drain N          N upstreams start to drain
@@ -46,6 +47,10 @@
 		n, d := a.count(), a.duration()
 		return func(w *simulation) { w.restartBalancers(n, d) }
 	},
+	"lost": func(a *args) func(*simulation) {
+		z, d, n := a.zone(), a.duration(), a.zones
+		return func(w *simulation) { w.loseZone(z, n, d) }
+	},
 	"lose": func(a *args) func(*simulation) {
 		n := a.count()
 		return func(w *simulation) { w.forEachLiveAgent(n, (*agentVM).lose) }
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -50,6 +50,7 @@
 	cuts            overlapping[int]
 	losses          overlapping[float64]
 	storeDelays     overlapping[time.Duration]
+	zones           int           // number of availability zones of the balancers; 0: they have none
 	heartbeat       time.Duration // interval of upstreams' heartbeats; 0: defaultHeartbeat
 	coldStart       time.Duration // duration of upstreams' cold start
 	storeLatency    time.Duration // latency of the store for processes that start; 0: defaultStoreLatency
--- /dev/null
+++ b/experiment/zonegone_test.go
@@ -0,0 +1,52 @@
+package experiment
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against callers that wait for their deadlines, request after request, as long as an
+// availability zone is gone: their flows ended with it, but a home of theirs was there too, so
+// nobody tells them.
+func TestCallersOfGoneZoneAreServedAgain(t *testing.T) {
+	const zones, back, pause = 5, 12 * time.Second, 6 * time.Second
+	for name, x := range map[string]struct{ balancers, agents, callers int }{
+		"10 + 20": {10, 20, 600},
+		"30 + 60": {30, 60, 1800},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				w, err := newSimulation(seed)
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.zones = zones
+				for i := range x.balancers {
+					w.addBalancer(i, size{})
+				}
+				for i := range x.agents {
+					w.addAgent(i, zoneName(i%zones)).tick()
+				}
+				w.runUntil(settleTime)
+				for i := range x.callers {
+					w.addCaller(i, pause)
+				}
+				w.runUntil(3 * settleTime)
+				w.dayStart = w.now
+				w.loseZone(zoneName(0), zones, back)
+				w.runUntil(w.now + back)
+				w.checkBreaches(t)
+				// Agents are considered gone after 2.6 s; a request on one of their flows is then answered
+				// after its caller has repeated it.
+				begun, failed := 0, 0
+				for _, s := range w.seconds[3:11] {
+					begun, failed = begun+s.Begun, failed+s.Failed
+				}
+				if begun < 400 || float64(failed) > 0.003*float64(begun) {
+					t.Errorf("seed %d: %d of %d requests failed from the fourth second of the loss on, want at most 0.3%%", seed, failed, begun)
+				}
+			}
+		})
+	}
+}
