Ask the agents of a lookup in the order in which openings are placed

Cause: an opening goes to one of the two highest ranked agents of the balancer's own zone where it can, and else of all zones, but a lookup that no home helps (after everything was killed) asked agents by their rank among all, eight in a round. With five zones the own zone's first is not among the first eight for 17% of all flows, its second for 50%; with three zones 4% and 20%. Such flows waited for rounds that begin 100, 200 and 400 ms later.

Change: the highest ranked agents of the own zone and of all zones take turns. Agents of evacuated zones still come first. No message more than before.

--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -331,8 +331,9 @@
 	return 0
 }
 
-// nextAgent returns the next agent to ask that no home named, or nil. If the homes agree, only uncovered agents are candidates. Before anyAgentRound, only agents
-// that do not know all flows of their upstreams are.
+// nextAgent returns the next agent to ask that no home named, or nil. If the homes agree, only
+// uncovered agents are candidates. Before anyAgentRound, only agents that do not know all flows of
+// their upstreams are.
 func (b *Balancer) nextAgent(l *lookup, now time.Duration) *agentView {
 	agree := l.homesAgree()
 	return b.bestAgent(l, now, func(a *agentView) bool {
@@ -347,23 +348,33 @@
 }
 
 // bestAgent returns the eligible agent of the flow's services with the highest rank that
-// was not asked yet. It returns nil if there is none or the round has asked enough agents.
+// was not asked yet, of all availability zones and of the own one in turn. It returns nil if
+// there is none or the round has asked enough agents.
 func (b *Balancer) bestAgent(l *lookup, now time.Duration, eligible func(*agentView) bool) *agentView {
 	if b.config == nil || l.asksLeft == 0 {
 		return nil
 	}
-	var best ranked
+	var best, bestInZone ranked
 	hash := l.flow.hash()
 	for _, s := range b.config.Routes[l.flow.Address].Shares {
 		for _, a := range b.agents.byService[s.Service] {
 			if !a.reachable(now) || slices.Contains(l.asked, a.ip) || !eligible(a) {
 				continue
 			}
-			if r := (ranked{a, b.agents.rank(hash, a)}); best.agent == nil || r.score > best.score {
+			r := ranked{a, b.agents.rank(hash, a)}
+			if best.agent == nil || r.score > best.score {
 				best = r
 			}
+			if a.status.Zone == b.Zone && (bestInZone.agent == nil || r.score > bestInZone.score) {
+				bestInZone = r
+			}
 		}
 	}
+	// An opening goes to one of the highest ranked of the balancer's zone or of all zones, so
+	// these take turns.
+	if bestInZone.agent != nil && l.asksLeft%2 == 0 && !b.zonesOut[best.agent.status.Zone] {
+		return bestInZone.agent
+	}
 	return best.agent
 }
 
--- a/datagram/lookup_test.go
+++ b/datagram/lookup_test.go
@@ -248,6 +248,42 @@
 	}
 }
 
+// Guards against lookups that ask the agents in another order than openings were placed, so that in
+// a site of several zones the holder comes after eight others, in a later round.
+func TestLookupAsksWhereOpeningsArePlaced(t *testing.T) {
+	const agents, zones, own = 200, 5, 1
+	for name, x := range map[string]struct {
+		zoneLoad int // flows at each agent of the own zone, with one at the others
+		within   int // number of agents asked until the one at which the opening is placed
+	}{
+		"upstreams alike":       {1, 1},
+		"own zone has more":     {100, 4},
+		"own zone has no flows": {0, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			for port := range uint16(100) {
+				b, s := testBalancer(t, agents, now-200*time.Millisecond)
+				b.Zone, b.agents.zone = own, own
+				for ip, a := range b.agents.byIP {
+					a.status.KnowsAll, a.status.Zone, a.reportedLoad = false, ZoneKey(ip%zones), 1
+					if a.status.Zone == own {
+						a.reportedLoad = x.zoneLoad
+					}
+				}
+				placed, _, _ := b.agents.choose(testFlow(port).hash(), 7, nil, PriorityFirst, time.Second, now)
+				b.HandleCaller(plainPacket(plainData, port), now)
+				for i := 0; i < len(s.askedAgents()) && i < agents; i++ {
+					deny(b, s.askedAgents()[i], port, FlagUnsure, now)
+				}
+				if i := slices.Index(s.askedAgents(), placed.ip); i < 0 || i >= x.within {
+					t.Fatalf("flow %d: agent %v is asked as number %d, want within the first %d", port, placed.ip, i+1, x.within)
+				}
+			}
+		})
+	}
+}
+
 // Guards against forwarding packets to other upstreams before the agents of an evacuated
 // zone were asked. Such an agent may hold the flow, and drops its packets.
 func TestLookupAsksEvacuatedZoneFirst(t *testing.T) {
