Keep far agents between two of their statuses in a fleet of any size

Cause: a balancer dropped an agent that had sent nothing for 30 s, and far agents send a status each n/20 s: 34 s at 682 agents, 120 s at 2,400. So every balancer forgot nearly every agent for 4 s of each 34 s, placed nothing there, and forgot which of its entries had arrived. When the agent's next status came, entries were missing, and a home that misses entries of one agent is not sure of any flow; it asked for them after two more statuses, 68 s.

Change: an agent that is not suspected is dropped after two of the intervals that it announced, and not before 30 s.

--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -95,14 +95,14 @@
 	x.rebuildIndex()
 }
 
-// expire drops the agents that have sent nothing for expiryTime and have no record. A record
-// counts for as long after it was read, because only watchers of the store read the records
+// expire drops the agents that have sent nothing for too long and have no record. A record
+// counts for expiryTime after it was read, because only watchers of the store read the records
 // regularly. An agent that returns later announces itself.
 func (x *agents) expire(now time.Duration) {
 	dropped := false
 	for ip, a := range x.byIP {
 		recorded := a.recorded && now-max(x.recordsAt, a.discovered) <= expiryTime
-		if !recorded && now-a.lastSeen > expiryTime {
+		if !recorded && now-a.lastSeen > a.expiresAfter() {
 			delete(x.byIP, ip)
 			dropped = true
 		}
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -180,6 +180,15 @@
 // be. It keeps the load of the busiest upstream close to the mean.
 const sameZoneLoadFactor = 1.1
 
+// expiresAfter returns how long the agent may send nothing before it is dropped. An agent that is
+// not suspected may miss a status, and in a large fleet far ones are minutes apart.
+func (a *agentView) expiresAfter() time.Duration {
+	if a.suspicion.since != 0 {
+		return expiryTime
+	}
+	return max(expiryTime, maxMissedStatuses*a.status.Interval.Duration()+deliveryMargin)
+}
+
 // reachable reports whether the agent's statuses arrive, so that it is expected to answer.
 func (a *agentView) reachable(now time.Duration) bool {
 	return a.lastSeen != 0 && a.suspicion.since == 0 && !a.silent(now)
