Ask for missing entries without another status, and log why a home is not sure

Cause: a home that misses one entry of one agent is not sure of any flow, and it asked for the entries at the second status that says so: within a second from near agents, after 68 s from far ones at 682 agents. So the larger the fleet, the more likely some entry is missing and the longer it stays so. Nothing told an operator which agent a home waits for.

Event 3108 names what a home lacks and of whom, once a second while it is asked.

Result: TestMissingEntriesAreRequestedWithoutAnotherStatus: one request within 550 ms for an agent of 682 (before: none until its next but one status).

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -344,6 +344,7 @@
 		b.sendStatusToNew(now)
 		b.agents.expire(now)
 		b.forgetTrackers()
+		b.requestMissing(now)
 		b.expirePeers(now)
 		b.updateHomes(now)
 		b.updateWatching(now)
--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -19,6 +19,8 @@
 	// resendInterval is the minimum interval between requests to one agent to resend its
 	// entries.
 	resendInterval = 300 * time.Millisecond
+	// resendShare bounds these requests, as a share of the lookups' rate.
+	resendShare = 0.1
 	// coverageInterval is the minimum interval between computations of the coverage, each
 	// of which visits all agents.
 	coverageInterval = 10 * time.Millisecond
@@ -33,6 +35,8 @@
 	// droppedAt is when entries were last removed because the table was full. 0 means never.
 	droppedAt time.Duration
 	coverage  coverage
+	// gapLoggedAt is when a gap was last logged. 0 means never.
+	gapLoggedAt time.Duration
 }
 
 // coverage describes the flows for which a directory knows every agent that holds them.
@@ -46,6 +50,32 @@
 	homeSets  []homeSet
 	// reserves is set if all of these agents register their flows at reserve homes too.
 	reserves bool
+	// gap is why the directory may be incomplete, and gapAgent the first agent found for which
+	// that holds.
+	gap      coverageGap
+	gapAgent IP
+}
+
+// coverageGap is why a directory may lack flows.
+type coverageGap uint8
+
+const (
+	gapNone coverageGap = iota
+	gapMembersNotRead
+	gapCutOff
+	gapEntriesDropped
+	gapAgentSilent
+	gapManyUncovered
+	gapHomesUnread
+	gapEntriesMissing
+	gapManyHomeSets
+	gapMostSilent
+	gapEnd
+)
+
+var coverageGapNames = [gapEnd]string{
+	"", "membersNotRead", "cutOff", "entriesDropped", "agentSilent", "manyUncovered", "homesUnread", "entriesMissing",
+	"manyHomeSets", "mostSilent",
 }
 
 // covers reports whether the home would know the flow if any agent held it, other than the
@@ -82,7 +112,8 @@
 	next       uint32 // the number below which all entries have arrived
 	ahead      uint64 // bit mask of the 64 entries from next on that have arrived
 	lastResend time.Duration
-	wasMissing bool // entries were already missing at the previous status
+	// missingSince is when a status arrived of which entries are missing. 0 means that none are.
+	missingSince time.Duration
 }
 
 // markReceived records the arrival of an entry. Entries may arrive in any order.
@@ -189,13 +220,12 @@
 	return l
 }
 
-// checkEntries requests all entries of the agent again if entries were missing at two
-// consecutive statuses. At one status an entry may just be late.
+// checkEntries notes whether entries are missing that the agent had sent before its status.
 func (b *Balancer) checkEntries(from IP, s *AgentStatus, now time.Duration) {
 	l := b.directory.trackers[from]
 	if l.isComplete(s) {
 		if l != nil {
-			l.wasMissing = false
+			l.missingSince = 0
 		}
 		return
 	}
@@ -203,17 +233,37 @@
 		l = &entryTracker{life: s.Life, epoch: s.Epoch}
 		b.directory.trackers[from] = l
 	}
-	if !l.wasMissing {
-		l.wasMissing = true
-		return
+	if l.missingSince == 0 {
+		l.missingSince = now
 	}
-	if l.lastResend != 0 && now-l.lastResend < resendInterval {
-		return
+}
+
+// requestMissing requests all entries again from agents of which some have been missing for
+// resendInterval; before that they may just be late. It does not wait for another status, which a
+// far agent sends after a time that grows with the fleet: one agent of which an entry is missing
+// is enough for a home not to be sure of any flow.
+func (b *Balancer) requestMissing(now time.Duration) {
+	left := max(1, int(resendShare*b.LookupRate*StatusInterval.Seconds()))
+	for ip, l := range b.directory.trackers {
+		a := b.agents.byIP[ip]
+		if left == 0 {
+			return
+		}
+		switch {
+		case l.missingSince == 0, a == nil, a.holdsNoFlows():
+			continue
+		case l.isComplete(&a.status):
+			l.missingSince = 0
+			continue
+		case now-l.missingSince < resendInterval, l.lastResend != 0 && now-l.lastResend < resendInterval:
+			continue
+		}
+		left--
+		l.lastResend = now
+		b.Count.Resends++
+		b.Log.entriesMissing(ip, a.status.Life)
+		b.send(b.scratch[:HeaderLen], Message{Kind: KindResend}, ip)
 	}
-	l.lastResend = now
-	b.Count.Resends++
-	b.Log.entriesMissing(from, s.Life)
-	b.send(b.scratch[:HeaderLen], Message{Kind: KindResend}, from)
 }
 
 // coverage returns the coverage of the directory, which is recomputed if it is too old.
@@ -222,19 +272,26 @@
 	c := &d.coverage
 	if c.computedAt == 0 || now-c.computedAt >= coverageInterval {
 		*c = coverage{computedAt: now, uncovered: c.uncovered[:0], homeSets: c.homeSets[:0], reserves: true}
-		c.complete = b.membersRead && !b.lostPeers(now) &&
-			(d.droppedAt == 0 || now-d.droppedAt > 2*directoryInterval) && b.computeCoverage(c, now)
-		if !c.complete {
+		switch {
+		case !b.membersRead:
+			c.gap = gapMembersNotRead
+		case b.lostPeers(now):
+			c.gap = gapCutOff
+		case d.droppedAt != 0 && now-d.droppedAt <= 2*directoryInterval:
+			c.gap = gapEntriesDropped
+		default:
+			b.computeCoverage(c, now)
+		}
+		if c.complete = c.gap == gapNone; !c.complete {
 			c.uncovered = c.uncovered[:0] // incomplete, and so of no use to a lookup
 		}
 	}
 	return c
 }
 
-// computeCoverage computes the coverage and reports whether the directory is complete. It is
-// not complete if this balancer reaches fewer than half of the agents: it is then more likely
+// computeCoverage computes the coverage and finds a gap. The directory is not complete if this balancer reaches fewer than half of the agents: it is then more likely
 // that the balancer is cut off than that all of them are dead.
-func (b *Balancer) computeCoverage(c *coverage, now time.Duration) bool {
+func (b *Balancer) computeCoverage(c *coverage, now time.Duration) {
 	d := &b.directory
 	unreachable := 0
 	for ip, a := range b.agents.byIP {
@@ -244,19 +301,29 @@
 		switch {
 		case !a.mayHoldFlows(now):
 		case !a.reachable(now), b.silentSinceIsolation(a):
-			return false
+			c.gap, c.gapAgent = gapAgentSilent, ip
+			return
+		case !a.status.KnowsAll && len(c.uncovered) == maxUncovered:
+			c.gap, c.gapAgent = gapManyUncovered, ip
+			return
 		case !a.status.KnowsAll:
-			if len(c.uncovered) == maxUncovered {
-				return false
-			}
 			c.uncovered = append(c.uncovered, ip)
-		case !a.knowsHomes(&b.homes), !d.trackers[ip].isComplete(&a.status), !c.add(a.homes):
-			return false
+		case !a.knowsHomes(&b.homes):
+			c.gap, c.gapAgent = gapHomesUnread, ip
+			return
+		case !d.trackers[ip].isComplete(&a.status):
+			c.gap, c.gapAgent = gapEntriesMissing, ip
+			return
+		case !c.add(a.homes):
+			c.gap, c.gapAgent = gapManyHomeSets, ip
+			return
 		default:
 			c.reserves = c.reserves && a.usesReserveHomes
 		}
 	}
-	return 2*unreachable <= len(b.agents.byIP)
+	if 2*unreachable > len(b.agents.byIP) {
+		c.gap = gapMostSilent
+	}
 }
 
 // maxHomeSets bounds the sets that are checked for each flow. There may be several, as
@@ -307,6 +374,7 @@
 		return
 	}
 	c, p0 := b.coverage(now), p
+	b.logGap(c, now)
 	m := append(b.scratch[:HeaderLen], byte(len(c.uncovered)))
 	m = appendIPs(m, c.uncovered)
 	for ; len(p) > 0; p = p[flowLen:] {
@@ -324,6 +392,18 @@
 	b.send(m, b.locatedHeader(p0, c.uncovered, now), from)
 }
 
+// gapLogInterval bounds the log lines about gaps in the directory.
+const gapLogInterval = time.Second
+
+// logGap logs why this home can't tell whether a flow is gone.
+func (b *Balancer) logGap(c *coverage, now time.Duration) {
+	if c.gap == gapNone || b.directory.gapLoggedAt != 0 && now-b.directory.gapLoggedAt < gapLogInterval {
+		return
+	}
+	b.directory.gapLoggedAt = now
+	b.Log.directoryIncomplete(c, len(b.homes.ips), len(b.peers)+1)
+}
+
 // locatedHeader returns the header of the answer to a question. If the question is about one flow,
 // which is so in lookups, the header says which of the named agents this home hears.
 func (b *Balancer) locatedHeader(question []byte, uncovered []IP, now time.Duration) Message {
--- a/datagram/directory_test.go
+++ b/datagram/directory_test.go
@@ -267,6 +267,57 @@
 	}
 }
 
+// Guards against a home that is not sure of any flow until a far agent, of which an entry was lost,
+// has sent two more statuses: over a minute in a fleet of 682 agents.
+func TestMissingEntriesAreRequestedWithoutAnotherStatus(t *testing.T) {
+	for name, x := range map[string]struct {
+		agents, missing int
+		rate            float64
+		late            bool // the entry arrives after the status
+		want, most      int  // requests within a second, and within a tick
+	}{
+		"one of a large fleet":      {682, 1, 2000, false, 1, 1},
+		"the entry was only late":   {682, 1, 2000, true, 0, 0},
+		"of all agents":             {682, 682, 400, false, 10 * 2, 10},
+		"of all, on the least VM":   {682, 682, 1, false, 2, 1},
+		"of all, rate not known":    {682, 682, defaultLookupRate, false, 50 * 2, 50},
+		"of some in a medium fleet": {60, 20, defaultLookupRate, false, 20, 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			b, _ := testBalancer(t, x.agents, now)
+			b.LookupRate = x.rate
+			for ip := IP(1); ip <= IP(x.missing); ip++ {
+				st := b.agents.byIP[ip].status
+				st.Sequence, st.Entries, st.Interval = st.Sequence+1, 1, MillisOf(34*time.Second)
+				b.HandleMessage(ip, message(b, Message{Kind: KindAgent, Service: 7}, st.append(nil)), now)
+				if x.late {
+					b.HandleMessage(ip, message(b, Message{Kind: KindEntries}, testFlowEntry(st.Life)), now+time.Millisecond)
+				}
+			}
+			requests, most := 0, 0
+			for range 3 { // in less than a second no request is repeated
+				now += StatusInterval
+				before := b.Count.Resends
+				b.requestMissing(now)
+				n := int(b.Count.Resends - before)
+				requests, most = requests+n, max(most, n)
+			}
+			if requests != x.want || most > x.most {
+				t.Errorf("%d requests, at most %d in a tick, want %d and %d", requests, most, x.want, x.most)
+			}
+		})
+	}
+}
+
+// testFlowEntry returns the payload of a message with the first entry of an agent's run.
+func testFlowEntry(l Life) []byte {
+	p := make([]byte, entriesHeaderLen)
+	p[7] = byte(l)
+	p[6] = byte(l >> 8)
+	return appendFlow(p, testFlow(9))
+}
+
 func FuzzEntries(f *testing.F) {
 	f.Add(make([]byte, entriesHeaderLen+flowLen))
 	f.Add([]byte{1})
--- a/datagram/log.go
+++ b/datagram/log.go
@@ -118,6 +118,16 @@
 		slog.String("watcher", seen.ip.String()), slog.Duration("age", now-seen.at))
 }
 
+// directoryIncomplete logs why a home can't tell whether flows are gone, and how many balancers
+// there are in its home set and among those that it knows.
+func (l *Log) directoryIncomplete(c *coverage, homes, known int) {
+	if l == nil || l.Log == nil {
+		return
+	}
+	l.Log.Add(events.DirectoryIncomplete, slog.String("gap", coverageGapNames[c.gap]), slog.String("agent", c.gapAgent.String()),
+		slog.Int("homes", homes), slog.Int("balancers", known))
+}
+
 // entriesMissing logs that an agent is asked to send its flows again.
 func (l *Log) entriesMissing(ip IP, life Life) {
 	if l == nil || l.Log == nil {
--- a/events/events.go
+++ b/events/events.go
@@ -45,6 +45,7 @@
 	EntriesMissing       ID = 3105
 	NearBalancersChanged ID = 3106
 	StoreWatchChanged    ID = 3107
+	DirectoryIncomplete  ID = 3108
 	RequestKept          ID = 2204
 	KeptRequestForwarded ID = 2205
 	KeptRequestDropped   ID = 2206
@@ -125,6 +126,7 @@
 	{EntriesMissing, "flows requested again from an agent", slog.LevelInfo},
 	{NearBalancersChanged, "near balancers changed", slog.LevelInfo},
 	{StoreWatchChanged, "store watch started or stopped", slog.LevelInfo},
+	{DirectoryIncomplete, "home may lack flows", slog.LevelInfo},
 	{RequestKept, "request kept back", slog.LevelInfo},
 	{KeptRequestForwarded, "kept request forwarded", slog.LevelInfo},
 	{KeptRequestDropped, "kept request dropped", slog.LevelInfo},
