Send large home sets as bitmaps over the known balancers

Cause: a home is sure only if it knows the set of balancers among which each agent chooses homes. Sets of up to 64 are listed; larger ones are a digest, which tells only that they are the same. An agent that starts while an availability zone is away never hears the balancers there, so its set differs from everybody's until the zone is back or 45 s have passed, and no home is sure of any flow. A balancer that starts then looks flows up at other homes than the agents have registered them.

Change: a status to a balancer with another set carries the set as a bitmap over the balancers that the agent knows, with their digest: 46 B at 304, 108 B at 800. A balancer that knows the same ones reads it; one that does not is sent it again once it does. Builds before this one get none. Every second round of a lookup takes the homes among all known balancers. The first verification of a reported agent counts, so it is considered gone 250 ms sooner.

Messages: the same number, but one more for each balancer that could not read the set when it was sent.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -56,6 +56,7 @@
 	upstream          upstream
 	balancers         map[IP]*balancerView
 	homes             homeSet
+	known             homeSet       // cache of knownBalancers
 	homesUpdateAt     time.Duration // when homes is updated; 0: not scheduled
 	homesSendAt       time.Duration // when all balancers are sent the new set; 0: not scheduled
 	homesSendDeadline time.Duration // the time past which that is not postponed
@@ -116,7 +117,12 @@
 	lastSeen, lastSent time.Duration
 	// expectedInterval is the time within which the balancer expects the next status.
 	expectedInterval time.Duration
-	agentCount       int // how many agents the balancer knows
+	agentCount       int    // how many agents the balancer knows
+	balancerCount    int    // how many balancers it knows
+	homes            uint64 // digest of its home set
+	// homesReadable: it knew as many balancers as this agent when it was last sent the agent's
+	// home set as a bitmap.
+	homesReadable bool
 	// entries is the number of flows registered at it in the current epoch. resendEntries
 	// starts a new epoch.
 	epoch, entries uint32
@@ -264,13 +270,34 @@
 	}
 	b.agentCount = int(s.Agents)
 	a.agentCount = max(a.agentCount, b.agentCount)
+	known := len(a.balancers)
 	for _, ip := range s.Balancers {
 		a.AddBalancer(ip, now)
 	}
+	if len(a.balancers) > known && len(a.homes.ips) > maxHomesListed {
+		a.scheduleHomesStatus(now) // others can read the set now
+	}
+	b.balancerCount, b.homes = int(s.Known), s.Homes
+	a.repeatHomes(from, now)
 	a.version = max(a.version, s.Version)
 	a.setZonesOut(s.Zones, s.Revision, now)
 }
 
+// repeatHomes sends a balancer the home set again if it could not read it before and can do so now,
+// because it has learned of the other balancers.
+func (a *Agent) repeatHomes(to IP, now time.Duration) {
+	b := a.balancers[to]
+	if a.sendsBitmap(b) && !b.homesReadable && b.balancerCount == len(a.balancers) && a.homesSendAt == 0 {
+		a.sendInitialStatus(to, now)
+	}
+}
+
+// sendsBitmap reports whether a status to the balancer carries the home set as a bitmap: the
+// balancer has another set, and is not of an earlier build.
+func (a *Agent) sendsBitmap(b *balancerView) bool {
+	return len(a.homes.ips) > maxHomesListed && b.zone != 0 && b.homes != a.homes.digest
+}
+
 // setZonesOut applies the evacuated availability zones unless a later revision is known. A
 // balancer that is cut off from the store can therefore not restore the older state that it
 // last read.
@@ -377,7 +404,8 @@
 }
 
 // statusMessage returns the status for one balancer and announces the next one within
-// interval. If withHomes is set and the home set is small enough, the message also lists it.
+// interval. If withHomes is set and the home set is small, the message also lists it. A large set
+// follows as a bitmap.
 func (a *Agent) statusMessage(b *balancerView, now, interval time.Duration, withHomes bool) []byte {
 	a.sequence++
 	s := AgentStatus{
@@ -394,7 +422,11 @@
 		s.ColdRemaining = MillisOf(a.upstream.coldUntil - now)
 	}
 	m := s.append(a.scratch[:HeaderLen])
-	if withHomes && len(a.homes.ips) <= maxHomesListed {
+	switch {
+	case a.sendsBitmap(b):
+		m = a.homes.appendBitmap(append(m, 0), a.knownBalancers())
+		b.homesReadable = b.balancerCount == len(a.balancers)
+	case withHomes && len(a.homes.ips) <= maxHomesListed:
 		m = appendIPs(append(m, byte(len(a.homes.ips))), a.homes.ips)
 	}
 	h := Message{Kind: KindAgent, Flags: FlagReserveHomes, Service: a.Service, Report: a.loadReport(now)}
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -72,6 +72,8 @@
 	admissions          map[ServiceKey]*serviceAdmission
 	transfers           transfers
 	homes               homeSet
+	known               homeSet // cache of knownBalancers
+	lastHomesRead       homeSet // the home set of an agent that was read last
 	directory           directory
 	lookups             lookups
 	lost                lostFlows
@@ -91,6 +93,9 @@
 	// requests to register them again, Located the number of lookups answered for other
 	// balancers.
 	Entries, Resends, Located uint64
+	// UnreadHomes is the number of home sets of agents that could not be read, because the agent
+	// knows other balancers than this one.
+	UnreadHomes uint64
 	// NotAdmitted is the number of openings that their service's level did not admit.
 	NotAdmitted uint64
 	// LostFlows is the number of flows that were reset because their agent and upstream had
@@ -190,6 +195,9 @@
 	for _, m := range ms {
 		if !m.Agent {
 			b.discoverPeer(m.IP, now)
+			if p := b.peers[m.IP]; p != nil && p.zone == 0 {
+				p.zone = m.Zone
+			}
 		}
 	}
 	b.sendStatusToNew(now)
--- a/datagram/directory_test.go
+++ b/datagram/directory_test.go
@@ -343,7 +343,7 @@
 	switch h.Kind {
 	case KindAgent:
 		var s AgentStatus
-		if ips, ok := s.decodeWithHomes(p); ok && len(ips) > 0 {
+		if ips, _, ok := s.decodeWithHomes(p); ok && len(ips) > 0 {
 			o.sets[to] = newHomeSet(ips, nil)
 		}
 	case KindEntries:
--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -159,7 +159,7 @@
 	l.asked = slices.DeleteFunc(l.asked, func(ip IP) bool {
 		return !slices.Contains(l.denied, ip) && (slices.Contains(l.holders, ip) || !slices.Contains(l.answered, ip))
 	})
-	l.homes = b.homes.registration(l.flow)
+	l.homes = b.homesForRound(l)
 	clear(l.homeAnswered[:])
 	clear(l.authoritative[:])
 	l.reservesAsked, l.uncovered, l.heard = false, nil, nil
@@ -172,6 +172,16 @@
 	b.advance(l, now)
 }
 
+// homesForRound returns the homes that are asked in the lookup's round. Every second round takes
+// those among all balancers that this one knows: agents may have heard some of these that it has
+// not, for instance because it started while an availability zone is away.
+func (b *Balancer) homesForRound(l *lookup) registration {
+	if l.round%2 == 0 {
+		return b.knownBalancers().registration(l.flow)
+	}
+	return b.homes.registration(l.flow)
+}
+
 // askHome asks the i-th home which agents hold the flow.
 func (b *Balancer) askHome(l *lookup, i int, now time.Duration) {
 	b.lookups.schedule(l, now+homeAnswerTimeout)
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -67,7 +67,7 @@
 
 func (b *Balancer) handleAgentStatus(from IP, h Message, p []byte, now time.Duration) {
 	var s AgentStatus
-	ips, ok := s.decodeWithHomes(p)
+	ips, bitmap, ok := s.decodeWithHomes(p)
 	if !ok {
 		b.Count.BadMessages++
 		return
@@ -92,9 +92,33 @@
 			b.discoverPeers(ips, now)
 			a.homes = newHomeSet(ips, b.zoneOf)
 		}
+		if len(bitmap) > 0 && !a.knowsHomes(&b.homes) {
+			b.readHomes(a, bitmap)
+		}
 		b.checkEntries(from, &a.status, now)
 		b.lost.noteStatus(from, &a.status, b.directory.trackers[from].isComplete(&a.status), now)
-		b.resolveMismatch(from, s.Homes, &a.mismatch, now)
+		if len(a.homes.ips) > maxHomesListed && a.knowsHomes(&b.homes) {
+			a.mismatch = homesMismatch{}
+		} else {
+			b.resolveMismatch(from, s.Homes, &a.mismatch, now)
+		}
+	}
+}
+
+// readHomes reads the home set that an agent sends as a bitmap. Most agents have the set that was
+// read last.
+func (b *Balancer) readHomes(a *agentView, bitmap []byte) {
+	if b.lastHomesRead.hasDigest(a.status.Homes) {
+		a.homes = b.lastHomesRead
+		return
+	}
+	ips, ok := decodeBitmap(bitmap, b.knownBalancers())
+	if !ok {
+		b.Count.UnreadHomes++
+		return
+	}
+	if s := newHomeSet(ips, b.zoneOf); s.hasDigest(a.status.Homes) {
+		a.homes, b.lastHomesRead = s, s
 	}
 }
 
--- a/datagram/silence_test.go
+++ b/datagram/silence_test.go
@@ -24,7 +24,7 @@
 	var h Message
 	p, _ := h.Get(m, o.keys)
 	var s AgentStatus
-	if _, ok := s.decodeWithHomes(p); h.Kind != KindAgent || !ok {
+	if _, _, ok := s.decodeWithHomes(p); h.Kind != KindAgent || !ok {
 		return
 	}
 	if e := o.every[to]; e != 0 {
--- a/datagram/status.go
+++ b/datagram/status.go
@@ -82,17 +82,21 @@
 	return err == nil && s.State < upstreamStateEnd
 }
 
-// decodeWithHomes decodes a status and the list of balancers that may follow it.
-func (s *AgentStatus) decodeWithHomes(b []byte) ([]IP, bool) {
+// decodeWithHomes decodes a status and the home set that may follow it, as a list of balancers or,
+// after an empty list, as a bitmap.
+func (s *AgentStatus) decodeWithHomes(b []byte) (ips []IP, bitmap []byte, ok bool) {
 	n := min(len(b), agentStatusLen)
 	if !s.decode(b[:n]) {
-		return nil, false
+		return nil, nil, false
 	}
 	if len(b) == n {
-		return nil, true
+		return nil, nil, true
 	}
 	ips, rest, ok := decodeIPs(b[n:])
-	return ips, ok && len(rest) == 0
+	if !ok || len(rest) > 0 && (len(ips) > 0 || len(rest) < bitmapLen(0)) {
+		return nil, nil, false
+	}
+	return ips, rest, true
 }
 
 // BalancerStatus is a balancer's periodic report to agents and other balancers. Zones are
--- a/datagram/suspicion.go
+++ b/datagram/suspicion.go
@@ -69,6 +69,9 @@
 		return
 	}
 	b.suspect(a, "told silent", now)
+	if !b.isolated(now) {
+		a.suspicion.verifications++
+	}
 	b.verify(a, now)
 }
 
--- a/experiment/process.go
+++ b/experiment/process.go
@@ -188,11 +188,15 @@
 			v.a.SetRecordedDraining(v.drainRecorded)
 		}
 	})
-	if b := w.balancersByAddress(); len(b) > 0 {
-		v.a.AddBalancer(b[0].ip, 0) // it learns of the other balancers from this one
+	bs := w.balancersByAddress()
+	for _, b := range bs[:min(len(bs), settingsSeeds)] {
+		v.a.AddBalancer(b.ip, 0) // it learns of the other balancers from these
 	}
 }
 
+// settingsSeeds is the number of balancers that an agent's settings name.
+const settingsSeeds = 3
+
 // stop stops the agent; its upstream keeps running.
 func (v *agentVM) stop() { v.up, v.life = false, v.life+1 }
 
--- a/experiment/zonegone_test.go
+++ b/experiment/zonegone_test.go
@@ -50,3 +50,42 @@
 		})
 	}
 }
+
+// Guards against callers that are told nothing because the upstreams of a zone that is away are
+// replaced elsewhere: the agents of the new ones have never heard the balancers of that zone, and
+// the home set of these is too large to be listed.
+func TestAgentsThatStartWhileZoneIsGone(t *testing.T) {
+	const zones, balancers, agents, back = 5, 90, 40, 12 * time.Second
+	w, err := newSimulation(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.zones = zones
+	for i := range balancers {
+		w.addBalancer(i, size{})
+	}
+	for i := range agents {
+		w.addAgent(i, zoneName(i%zones)).tick()
+	}
+	w.runUntil(settleTime)
+	for i := range 2400 {
+		w.addCaller(i, 8*time.Second)
+	}
+	w.runUntil(5 * settleTime)
+	w.dayStart = w.now
+	w.loseZone(zoneName(0), zones, back)
+	w.after(2500*time.Millisecond, func() {
+		for i := range agents / zones {
+			w.addAgent(agents+i, zoneName(1+i%(zones-1))).tick()
+		}
+	})
+	w.runUntil(w.now + back)
+	w.checkBreaches(t)
+	begun, failed := 0, 0
+	for _, s := range w.seconds[4:11] {
+		begun, failed = begun+s.Begun, failed+s.Failed
+	}
+	if begun < 400 || float64(failed) > 0.003*float64(begun) {
+		t.Errorf("%d of %d requests failed from the fifth second of the loss on, want at most 0.3%%; by second %v", failed, begun, w.seconds)
+	}
+}
