Keep a dead agent in mind as long as its flows may be looked up

Cause: a balancer dropped an agent 30 s after its last status, also if it had begun to suspect it only now.

Change: a suspected agent is kept for the longest life of a flow after the suspicion began.

--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -102,7 +102,7 @@
 	dropped := false
 	for ip, a := range x.byIP {
 		recorded := a.recorded && now-max(x.recordsAt, a.discovered) <= expiryTime
-		if !recorded && now-a.lastSeen > a.expiresAfter() {
+		if !recorded && a.isExpired(now) {
 			delete(x.byIP, ip)
 			dropped = true
 		}
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -180,13 +180,15 @@
 // be. It keeps the load of the busiest upstream close to the mean.
 const sameZoneLoadFactor = 1.1
 
-// expiresAfter returns how long the agent may send nothing before it is dropped. An agent that is
-// not suspected may miss a status, and in a large fleet far ones are minutes apart.
-func (a *agentView) expiresAfter() time.Duration {
+// isExpired reports whether the agent has sent nothing for so long that it is dropped. One that is
+// not suspected may miss a status, and in a large fleet far ones are minutes apart. One that is
+// suspected is kept as long as its flows may live: they can't be proved gone if their agent is not
+// known.
+func (a *agentView) isExpired(now time.Duration) bool {
 	if a.suspicion.since != 0 {
-		return expiryTime
+		return now-max(a.lastSeen, a.suspicion.since) > maxFlowLifetime
 	}
-	return max(expiryTime, maxMissedStatuses*a.status.Interval.Duration()+deliveryMargin)
+	return now-a.lastSeen > max(expiryTime, maxMissedStatuses*a.status.Interval.Duration()+deliveryMargin)
 }
 
 // reachable reports whether the agent's statuses arrive, so that it is expected to answer.
