Ask the reserve home at once if the flow's agent is silent

Cause: a caller of a flow whose agent is silent has already waited 200 ms for its repetition when the flow is looked up.

--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -166,7 +166,7 @@
 	for i := range homesPerFlow {
 		b.askHome(l, i, now)
 	}
-	if b.expectsSilence(l) {
+	if b.expectsSilence(l) || b.isCachedAgentSilent(l, now) {
 		b.askReserves(l, now)
 	}
 	b.advance(l, now)
@@ -241,6 +241,14 @@
 	})
 }
 
+// isCachedAgentSilent reports whether this balancer remembers the flow's agent and that one is not
+// reachable. If the agent has failed with its availability zone, a home probably has too.
+func (b *Balancer) isCachedAgentSilent(l *lookup, now time.Duration) bool {
+	at, _ := b.flows.get(l.flow)
+	a := b.agents.byIP[at.agent]
+	return at.opening == 0 && a != nil && !a.reachable(now)
+}
+
 // homesAgree reports whether enough homes are authoritative to prove that no other agent than
 // those named holds the flow. A single one does not suffice, as the registration there may have
 // been lost.
--- a/datagram/reservehome_test.go
+++ b/datagram/reservehome_test.go
@@ -126,6 +126,35 @@
 	}
 }
 
+// Guards against callers that are answered after their target latency: they have already waited for
+// their repetition when the flow of a silent agent is looked up, and its home failed with the agent.
+func TestReserveHomeIsAskedAtOnceIfAgentIsSilent(t *testing.T) {
+	for name, silent := range map[string]bool{"agent is silent": true, "agent is reachable": false} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			b, s := testBalancer(t, 3, now-200*time.Millisecond)
+			for ip := IP(101); ip <= 104; ip++ {
+				addPeer(b, ip, now)
+			}
+			if silent {
+				leaveUnanswered(b, 1, now)
+			}
+			port := uint16(1)
+			for h := b.homes.registration(testFlow(port)); h.index(testSelf) >= 0; h = b.homes.registration(testFlow(port)) {
+				port++
+			}
+			b.flows.set(testFlow(port), flowLocation{agent: 1})
+			m := plainPacket(plainData, port)
+			p, _ := plainFormat{}.Parse(m[HeaderLen:])
+			b.lookUp(m, p, 0, now)
+			h := b.homes.registration(testFlow(port))
+			if asked := slices.Contains(s.to, h[firstReserve]); asked != silent {
+				t.Errorf("reserve home asked: %t", asked)
+			}
+		})
+	}
+}
+
 // Guards against a reserve home that denies flows which agents of the build before have not
 // registered there.
 func TestReserveHomeNeedsAgentsThatRegisterThere(t *testing.T) {
