--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -196,7 +196,7 @@
 		if !m.Agent {
 			b.discoverPeer(m.IP, now)
 			if p := b.peers[m.IP]; p != nil && p.zone == 0 {
-				p.zone = m.Zone
+				b.setZone(p, m.Zone)
 			}
 		}
 	}
--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -289,8 +289,9 @@
 	return c
 }
 
-// computeCoverage computes the coverage and finds a gap. The directory is not complete if this balancer reaches fewer than half of the agents: it is then more likely
-// that the balancer is cut off than that all of them are dead.
+// computeCoverage computes the coverage, up to the first gap. There is one too if this balancer
+// reaches fewer than half of the agents: it is then more likely that the balancer is cut off than
+// that all of them are dead.
 func (b *Balancer) computeCoverage(c *coverage, now time.Duration) {
 	d := &b.directory
 	unreachable := 0
--- a/datagram/homes.go
+++ b/datagram/homes.go
@@ -100,8 +100,8 @@
 
 const firstReserve = homesPerFlow
 
-// registration returns where the flow is registered. The reserve homes are the highest ranked balancers
-// in other zones than the homes, or of all others if there are none.
+// registration returns where the flow is registered. The reserve homes are the highest ranked
+// balancers in other zones than the homes, or of all others if there are none.
 func (s *homeSet) registration(f Flow) (r registration) {
 	h := s.choose(f)
 	copy(r[:], h[:])
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -37,6 +37,13 @@
 	b.homes = newHomeSet(b.balancersSeenWithin(homeTimeout(len(b.peers)+1), now), b.zoneOf)
 }
 
+// setZone sets a balancer's availability zone.
+func (b *Balancer) setZone(p *peerView, z ZoneKey) {
+	if p.zone != z {
+		p.zone, b.known = z, homeSet{}
+	}
+}
+
 // zoneOf returns a balancer's availability zone, or 0 if it is not known.
 func (b *Balancer) zoneOf(ip IP) ZoneKey {
 	if ip == b.Self {
@@ -130,7 +137,8 @@
 	}
 	b.discoverPeer(from, now)
 	p := b.peers[from]
-	p.zone, p.detached, p.known = zone, s.Detached, int(s.Known)
+	p.detached, p.known = s.Detached, int(s.Known)
+	b.setZone(p, zone)
 	b.noteWatcher(&s, now)
 	if p.lastSeen = now; p.life != s.Life {
 		p.life = s.Life
