--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -46,6 +46,8 @@
 	Evacuation time.Duration
 	// Heartbeat is the time between two announcements of the upstream.
 	Heartbeat HeartbeatInterval
+	// FlowLifetime is the longest lifetime of a flow.
+	FlowLifetime FlowLifetime
 	// Probe, if not nil, starts a connection attempt to the upstream's address; its result
 	// is passed to HandleProbeResult. It must not block.
 	Probe func()
@@ -136,8 +138,6 @@
 	flowRotationInterval = 30 * time.Second
 	// maxFlows bounds an agent's memory.
 	maxFlows = 100_000
-	// maxFlowLifetime exceeds the longest lifetime of a flow.
-	maxFlowLifetime = 65 * time.Second
 	// recountInterval bounds how long a wrong count lasts.
 	recountInterval = time.Second
 	// maxRequestDuration exceeds the longest deadline of a request that takes a slot; the
--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -18,16 +18,17 @@
 
 // agents is a balancer's view of the agents.
 type agents struct {
-	placement Placement
-	zone      ZoneKey
-	zonesOut  map[ZoneKey]bool // shared with the balancer
-	byIP      map[IP]*agentView
-	byService map[ServiceKey][]*agentView
-	speeds    map[ServiceKey]*serviceSpeed // of the services with a target latency
-	expected  observer                     // receives expected times; may be nil
-	counts    *BalancerCounts
-	log       *Log
-	recordsAt time.Duration // when the records were last read
+	placement    Placement
+	zone         ZoneKey
+	zonesOut     map[ZoneKey]bool // shared with the balancer
+	byIP         map[IP]*agentView
+	byService    map[ServiceKey][]*agentView
+	speeds       map[ServiceKey]*serviceSpeed // of the services with a target latency
+	expected     observer                     // receives expected times; may be nil
+	counts       *BalancerCounts
+	log          *Log
+	recordsAt    time.Duration // when the records were last read
+	flowLifetime FlowLifetime
 }
 
 func newAgents() agents {
@@ -102,7 +103,7 @@
 	dropped := false
 	for ip, a := range x.byIP {
 		recorded := a.recorded && now-max(x.recordsAt, a.discovered) <= expiryTime
-		if !recorded && a.isExpired(now) {
+		if !recorded && a.isExpired(x.flowLifetime, now) {
 			delete(x.byIP, ip)
 			dropped = true
 		}
--- a/datagram/agentview.go
+++ b/datagram/agentview.go
@@ -184,9 +184,9 @@
 // not suspected may miss a status, and in a large fleet far ones are minutes apart. One that is
 // suspected is kept as long as its flows may live: they can't be proved gone if their agent is not
 // known.
-func (a *agentView) isExpired(now time.Duration) bool {
+func (a *agentView) isExpired(l FlowLifetime, now time.Duration) bool {
 	if a.suspicion.since != 0 {
-		return now-max(a.lastSeen, a.suspicion.since) > maxFlowLifetime
+		return now-max(a.lastSeen, a.suspicion.since) > l.limit()
 	}
 	return now-a.lastSeen > max(expiryTime, maxMissedStatuses*a.status.Interval.Duration()+deliveryMargin)
 }
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -41,6 +41,8 @@
 	Observe observer
 	// LookupRate limits the messages per second that lookups send; 0 means the default.
 	LookupRate float64
+	// FlowLifetime is the longest lifetime of a flow.
+	FlowLifetime FlowLifetime
 	// Bandwidth of the VM's link in Mbit/s, which bounds the uploads that pass through at the
 	// same time; 0 means that it is not known.
 	Bandwidth float64
@@ -127,6 +129,7 @@
 	b.agents = newAgents()
 	b.agents.placement, b.agents.zone, b.agents.zonesOut = b.Placement, b.Zone, b.zonesOut
 	b.agents.expected, b.agents.counts, b.agents.log = b.Observe, &b.Count, b.Log
+	b.agents.flowLifetime = b.FlowLifetime
 	b.peers = map[IP]*peerView{}
 	b.flows = newTable[flowLocation](locationRotationInterval, maxLocations)
 	b.admissions = map[ServiceKey]*serviceAdmission{}
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -211,7 +211,7 @@
 // itself after the agent's start, and nothing accepts a connection at its address, there is
 // no upstream.
 func (a *Agent) knowsAllFlows(now time.Duration) bool {
-	return a.upstream.allFlowsKnown || now > maxFlowLifetime ||
+	return a.upstream.allFlowsKnown || now > a.FlowLifetime.limit() ||
 		a.upstream.state == UpstreamUnknown && !a.upstream.hasSent && !a.upstream.listens && now > a.Heartbeat.firstTimeout()
 }
 
--- a/datagram/lostflows.go
+++ b/datagram/lostflows.go
@@ -131,7 +131,7 @@
 // collect adds the flows that the returned agents have registered in earlier runs only.
 // Flows that several agents have registered are left out, as the caller may have chosen any
 // of them.
-func (x *lostFlows) collect(all iter.Seq2[Flow, entry], now time.Duration) {
+func (x *lostFlows) collect(all iter.Seq2[Flow, entry], l FlowLifetime, now time.Duration) {
 	type candidate struct {
 		Flow
 		entry
@@ -147,7 +147,7 @@
 		})
 		found = found[:min(len(found), maxLostFlows)]
 	}
-	oldest := MillisOf(now - maxFlowLifetime)
+	oldest := MillisOf(now - l.limit())
 	for f, e := range all {
 		if e.registered < oldest || e.number == 0 || e.holders[1] != 0 {
 			continue
@@ -248,7 +248,7 @@
 		return
 	}
 	if len(x.returned) > 0 && now >= x.collectDue {
-		x.collect(b.directory.flows.all(), now)
+		x.collect(b.directory.flows.all(), b.FlowLifetime, now)
 		x.collectDue = now + collectInterval(b.directory.flows.len())
 	}
 	x.expire(now)
--- a/node/agent.go
+++ b/node/agent.go
@@ -52,7 +52,7 @@
 	a.agent = &datagram.Agent{
 		Life: b.life, Service: datagram.ServiceKeyOf(b.settings.Service), Zone: datagram.ZoneKeyOf(b.settings.Zone),
 		Format: platform.PacketFormat{}, Out: a, Keys: b.keys, Log: &datagram.Log{Log: b.log, MaxLines: o.Lines}, Observe: b.observe, Evacuation: b.settings.Evacuation,
-		Heartbeat: datagram.HeartbeatInterval(b.settings.Heartbeat),
+		Heartbeat: datagram.HeartbeatInterval(b.settings.Heartbeat), FlowLifetime: datagram.FlowLifetime(b.settings.FlowLifetime),
 		Admission: o.admission(),
 	}
 	a.agent.Probe = func() { go a.probe() }
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -69,7 +69,7 @@
 	}
 	b.balancer.Admission, b.balancer.AccountPrefix = o.admission(), o.AccountPrefix
 	b.balancer.Clock = func() time.Duration { return time.Duration(time.Now().UnixNano()) }
-	b.balancer.Bandwidth = s.settings.Bandwidth
+	b.balancer.Bandwidth, b.balancer.FlowLifetime = s.settings.Bandwidth, datagram.FlowLifetime(s.settings.FlowLifetime)
 	b.balancer.Placement = o.placement()
 	b.balancer.Observe = s.observe
 	b.offers = make(chan datagram.IP, 1)
