Send a home set as a bitmap twice, and count control bytes by kind

Cause: each status to a balancer with another home set carried the bitmap.

Change: a balancer that can read the set is sent it twice, as often as the set itself is announced. The experiment's report has control bytes by kind of message.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -122,9 +122,11 @@
 	agentCount       int    // how many agents the balancer knows
 	balancerCount    int    // how many balancers it knows
 	homes            uint64 // digest of its home set
-	// homesReadable: it knew as many balancers as this agent when it was last sent the agent's
-	// home set as a bitmap.
-	homesReadable bool
+	// homesSent is the digest of the agent's home set that it was sent last as a bitmap, and
+	// homesSentCount how often it was while it knew as many balancers as the agent, so that it
+	// could read it.
+	homesSent      uint64
+	homesSentCount int
 	// entries is the number of flows registered at it in the current epoch. resendEntries
 	// starts a new epoch.
 	epoch, entries uint32
@@ -259,7 +261,7 @@
 	if b.lastSeen = now; b.life != s.Life {
 		// The balancer has just started and knows no agent. Until the next status it could
 		// not route to this agent, nor report that a flow is gone.
-		b.life = s.Life
+		b.life, b.homesSent, b.homesSentCount = s.Life, 0, 0
 		a.resendEntries(from)
 		if slices.Contains(a.homes.ips, from) {
 			a.sendInitialStatus(from, now)
@@ -287,15 +289,26 @@
 // because it has learned of the other balancers.
 func (a *Agent) repeatHomes(to IP, now time.Duration) {
 	b := a.balancers[to]
-	if a.sendsBitmap(b) && !b.homesReadable && b.balancerCount == len(a.balancers) && a.homesSendAt == 0 {
+	if a.sendsBitmap(b) && b.homesSentCount == 0 && b.balancerCount == len(a.balancers) && a.homesSendAt == 0 {
 		a.sendInitialStatus(to, now)
 	}
 }
 
 // sendsBitmap reports whether a status to the balancer carries the home set as a bitmap: the
-// balancer has another set, and is not of an earlier build.
+// balancer has another set, has not been sent this one often enough, and is not of an earlier build.
 func (a *Agent) sendsBitmap(b *balancerView) bool {
-	return len(a.homes.ips) > maxHomesListed && b.zone != 0 && b.homes != a.homes.digest
+	return len(a.homes.ips) > maxHomesListed && b.zone != 0 && b.homes != a.homes.digest &&
+		(b.homesSent != a.homes.digest || b.homesSentCount < homesSendCount)
+}
+
+// noteBitmap notes that the balancer is sent the home set as a bitmap.
+func (a *Agent) noteBitmap(b *balancerView) {
+	if b.homesSent != a.homes.digest {
+		b.homesSent, b.homesSentCount = a.homes.digest, 0
+	}
+	if b.balancerCount == len(a.balancers) {
+		b.homesSentCount++
+	}
 }
 
 // setZonesOut applies the evacuated availability zones unless a later revision is known. A
@@ -425,7 +438,7 @@
 	switch {
 	case a.sendsBitmap(b):
 		m = a.homes.appendBitmap(append(m, 0), a.knownBalancers())
-		b.homesReadable = b.balancerCount == len(a.balancers)
+		a.noteBitmap(b)
 	case withHomes && len(a.homes.ips) <= maxHomesListed:
 		m = appendIPs(append(m, byte(len(a.homes.ips))), a.homes.ips)
 	}
--- a/datagram/homebitmap_test.go
+++ b/datagram/homebitmap_test.go
@@ -52,7 +52,7 @@
 			if got := view.knowsHomes(&b.homes); got != x.want || got && !view.homes.equal(&a.homes) {
 				t.Fatalf("home set of %d of %d balancers known: %t, unread %d", len(a.homes.ips), x.balancers, got, b.Count.UnreadHomes)
 			}
-			if x.unknown == 0 || v.homesReadable {
+			if x.unknown == 0 || v.homesSentCount > 0 {
 				return
 			}
 			for i := range x.unknown { // the balancer learns of the others, and its next status says so
@@ -65,6 +65,12 @@
 			if !slices.Contains(r.statuses, testSelf) {
 				t.Error("the home set is not sent again to a balancer that can read it now")
 			}
+			for range 5 {
+				a.statusMessage(v, now, time.Minute, false)
+			}
+			if v.homesSentCount != homesSendCount {
+				t.Errorf("a readable home set was sent %d times, want %d", v.homesSentCount, homesSendCount)
+			}
 		})
 	}
 }
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -46,6 +46,19 @@
 	kindEnd
 )
 
+var kindNames = [kindEnd]string{
+	"", "opening", "packet", "opened", "refused", "returned", "notHeld", "held", "agentStatus", "balancerStatus", "silent",
+	"entries", "resend", "locate", "located",
+}
+
+// String returns the name of the kind in reports.
+func (k Kind) String() string {
+	if k >= kindEnd {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
 // isFromAgent reports whether agents send messages of this kind.
 func (k Kind) isFromAgent() bool {
 	switch k {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -56,6 +56,8 @@
 	// VM per second, with their IP and UDP headers: the maximum and the mean over the VMs.
 	ControlMost int `json:"controlMost"`
 	ControlMean int `json:"controlMean"`
+	// ControlByKind are the bytes of control messages per second of all VMs together, by kind.
+	ControlByKind map[string]int `json:"controlByKind"`
 	// Script holds the faults that were drawn. On a day with breaches, it is reduced to
 	// those that are needed to cause one.
 	Script []string `json:"script,omitempty"`
@@ -161,7 +163,7 @@
 		w.addCaller(i, callerPause).flowPerRequest = i%flowPerRequestInterval == flowPerRequestInterval-1
 	}
 	w.runUntil(2 * settleTime)
-	w.dayStart, w.controlBytes = w.now, map[datagram.IP]int{}
+	w.dayStart, w.controlBytes, w.controlByKind = w.now, map[datagram.IP]int{}, map[datagram.Kind]int{}
 	for _, f := range fs {
 		w.after(f.at, func() { f.apply(w) })
 	}
@@ -197,6 +199,10 @@
 	}
 	s := max(1, int(length/time.Second))
 	d.ControlMost /= s
+	d.ControlByKind = map[string]int{}
+	for k, n := range w.controlByKind {
+		d.ControlByKind[k.String()] = n / s
+	}
 	d.ControlMean = sum / s / max(1, len(w.controlBytes))
 }
 
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -68,8 +68,9 @@
 	measuredStarted, measuredInAim int
 	failedOnLiveFlow               int // requests since measureFrom that failed on open flows whose upstreams run
 	shed                           int
-	controlBytes                   map[datagram.IP]int // bytes of control messages to each VM, with their headers; nil: not counted
-	lookupTraffic                  traffic             // messages that belong to lookups of flows
+	controlBytes                   map[datagram.IP]int   // bytes of control messages to each VM, with their headers; nil: not counted
+	controlByKind                  map[datagram.Kind]int // the same by kind of message
+	lookupTraffic                  traffic               // messages that belong to lookups of flows
 	breaches                       []string
 	// dayStart is when the day starts; outcomes are counted by second from then on.
 	dayStart time.Duration
@@ -145,7 +146,7 @@
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), keys: link.NewKeys(r), zonesRevision: 1,
 		balancers: map[datagram.IP]*balancerVM{}, agents: map[datagram.IP]*agentVM{}, callers: map[datagram.IP]*caller{},
 		owners: map[datagram.Flow]*upstream{}, misroutes: map[datagram.Flow]*misroute{},
-		routedServices: map[datagram.ServiceKey]bool{},
+		routedServices: map[datagram.ServiceKey]bool{}, controlByKind: map[datagram.Kind]int{},
 	}
 	w.configure(1, datagram.Share{Service: routedServiceKey, Weight: 1})
 	return w, nil
@@ -255,6 +256,7 @@
 	k := datagram.Kind(m[1])
 	if w.controlBytes != nil && k >= datagram.KindAgent {
 		w.controlBytes[to] += len(m) + ipUDPHeaderLen
+		w.controlByKind[k] += len(m) + ipUDPHeaderLen
 	}
 	if isLookup(k, datagram.Flags(m[5])) {
 		w.lookupTraffic.messages++
