--- a/experiment/zonegone_test.go
+++ b/experiment/zonegone_test.go
@@ -39,13 +39,7 @@
 				w.checkBreaches(t)
 				// Agents are considered gone after 2.6 s; a request on one of their flows is then answered
 				// after its caller has repeated it.
-				begun, failed := 0, 0
-				for _, s := range w.seconds[3:11] {
-					begun, failed = begun+s.Begun, failed+s.Failed
-				}
-				if begun < 400 || float64(failed) > 0.003*float64(begun) {
-					t.Errorf("seed %d: %d of %d requests failed from the fourth second of the loss on, want at most 0.3%%", seed, failed, begun)
-				}
+				w.checkFailures(t, 3, 11)
 			}
 		})
 	}
@@ -81,11 +75,18 @@
 	})
 	w.runUntil(w.now + back)
 	w.checkBreaches(t)
+	w.checkFailures(t, 4, 11)
+}
+
+// checkFailures reports an error if more than 0.3% of the requests failed that began between the
+// given seconds of the day.
+func (w *simulation) checkFailures(t *testing.T, from, to int) {
+	t.Helper()
 	begun, failed := 0, 0
-	for _, s := range w.seconds[4:11] {
+	for _, s := range w.seconds[from:to] {
 		begun, failed = begun+s.Begun, failed+s.Failed
 	}
 	if begun < 400 || float64(failed) > 0.003*float64(begun) {
-		t.Errorf("%d of %d requests failed from the fifth second of the loss on, want at most 0.3%%; by second %v", failed, begun, w.seconds)
+		t.Errorf("seed %d: %d of %d requests failed from second %d to %d, want at most 0.3%%; by second %v", w.seed, failed, begun, from, to, w.seconds)
 	}
 }
