--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -93,7 +93,7 @@
 // restarted in turn meanwhile.
 func playHalfClose(ctx context.Context, s *site, trouble bool) error {
 	const (
-		flows   = 90
+		flows   = 180
 		pause   = 10 * time.Millisecond
 		gap     = 2500 * time.Millisecond // between two restarts
 		restart = 300 * time.Millisecond
