Keep each end's FIN apart, so that half-closed flows are not reset

Cause: an agent marked a flow as finished at the first FIN of either end. A finished flow is not registered again at homes that have restarted, so both homes are sure that nobody holds it, which is the proof for a reset. The mark also freed the request's slot while the upstream worked on it, dropped a request that the agent kept, took the flow out of the counts, and kept callers from being told that their upstream had ended.

Change: the agent keeps for each end whether its FIN was sent and whether the other end has acknowledged it. A flow stays registered until both are acknowledged, or one end resets it; it counts, and its caller is told, until both are sent. A request ends with the answer or the upstream's FIN.

--- a/datagram/absence.go
+++ b/datagram/absence.go
@@ -112,7 +112,7 @@
 			f.born = a.upstream.born // if the upstream does not hold it, it bounces its packets
 			continue
 		}
-		if f.phase == flowOpen && !f.finished && f.ackNumber != 0 {
+		if f.phase == flowOpen && !f.closing.ended() && f.ackNumber != 0 {
 			a.resetFlow(k, f, f.ackNumber, now)
 		}
 		a.flows.remove(k)
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -18,9 +18,9 @@
 	urgent     bool      // its route takes precedence over other routes of the service
 	kept       bool      // the agent keeps its request
 	ahead      int       // requests that were at the upstream when that one arrived
-	finished   bool      // the caller or the upstream has closed or reset it
-	born       int64     // Announcement.Born of the upstream run that has the flow; 0 means unknown
-	accepted   uint32    // sequence number of the upstream's acceptance
+	closing    closing
+	born       int64  // Announcement.Born of the upstream run that has the flow; 0 means unknown
+	accepted   uint32 // sequence number of the upstream's acceptance
 	balancer   IP
 	opening    uint32
 	// lookupPending is set while a balancer waits for a report that the flow is here.
@@ -225,8 +225,8 @@
 // after the answer does not: counted as a request it would never end, and an upstream that
 // receives uploads would be considered busy after some minutes.
 func (a *Agent) trackCallerPacket(k Packet, f *flowState, p []byte, now time.Duration) (complete bool) {
-	if k.Fin || k.Reset {
-		f.finished, f.kept = true, false
+	if f.closing.noteCaller(k, now); k.Reset {
+		f.kept = false
 		a.cancelRequest(f, now)
 	}
 	end := k.Seq + uint32(k.Length)
@@ -245,7 +245,7 @@
 		f.requestStart = now
 		a.logRequest(k.Flow, p, now)
 	}
-	f.receiving = k.Full
+	f.receiving = k.Full && !k.Fin
 	return !f.receiving
 }
 
@@ -298,12 +298,15 @@
 }
 
 // recount recomputes the counts from the flows, so that a flow whose end was missed can't
-// make the upstream look busy for long.
+// make the upstream look busy for long. It drops the flows that ended some time ago.
 func (a *Agent) recount(now time.Duration) {
 	a.openFlows = 0
 	valid := map[requestID]bool{}
-	for _, f := range a.flows.all() {
-		if f.phase != flowOpen || f.finished || !a.isCurrentRun(f.born) {
+	for k, f := range a.flows.all() {
+		if f.closing.expired(now) {
+			a.flows.remove(k)
+		}
+		if f.phase != flowOpen || f.closing.ended() || !a.isCurrentRun(f.born) {
 			continue
 		}
 		a.openFlows++
@@ -339,7 +342,7 @@
 // upstream, which has restarted without it.
 func (a *Agent) endLostFlow(k Packet, f *flowState, now time.Duration) {
 	a.flows.remove(k.Flow)
-	if f.phase != flowOpen || f.finished || k.Reset {
+	if f.phase != flowOpen || f.closing.ended() || k.Reset {
 		a.Count.Dropped++
 		return
 	}
@@ -394,6 +397,7 @@
 	} else {
 		a.openFlows++
 	}
+	f.closing.noteUpstream(k, now)
 	a.flows.set(k.Flow, f)
 	a.register(k.Flow, f, now)
 }
@@ -401,13 +405,13 @@
 // trackUpstreamPacket updates the flow from a packet of the upstream.
 func (a *Agent) trackUpstreamPacket(k Packet, f *flowState, now time.Duration) {
 	f.ackNumber = k.Seq + uint32(k.Length)
+	f.closing.noteUpstream(k, now)
 	switch {
 	case k.Reset:
-		if f.request != 0 && !f.finished {
+		if f.request != 0 && !f.closing.caller.sent { // else the caller may have given up
 			a.Count.Broken++
 			a.failures.note(true, now)
 		}
-		f.finished = true
 		a.cancelRequest(f, now)
 		return
 	case k.Open:
@@ -439,7 +443,7 @@
 		a.reportHeld(k.Flow, f)
 	}
 	if k.Fin {
-		f.finished = true
+		a.cancelRequest(f, now) // the upstream sends no answer after its FIN
 	}
 	a.updateNumber(k.Flow, f, now)
 }
@@ -470,7 +474,7 @@
 		return
 	}
 	f, known := a.flows.get(k.Flow)
-	if known && f.phase == flowOpen && !f.finished {
+	if known && f.phase == flowOpen && !f.closing.ended() {
 		// The upstream lost a flow that was open there, so it has restarted.
 		a.uncountFlow(f, now)
 		a.endLostFlow(k, f, now)
--- a/datagram/registrar.go
+++ b/datagram/registrar.go
@@ -49,7 +49,7 @@
 
 // needsRegistration reports whether the flow must be in the directories of its homes.
 func (a *Agent) needsRegistration(f *flowState) bool {
-	return f.phase >= flowAccepted && !f.finished && a.isCurrentRun(f.born)
+	return f.phase >= flowAccepted && !f.closing.complete() && a.isCurrentRun(f.born)
 }
 
 // isCurrentRun reports whether a flow that was opened in the given run of the upstream may
