Keep flows for their lifetime, and deny none after dropping some early

Cause: agents dropped a flow 30 to 60 s after its last packet, by a constant that stood for the idle timeout, and at any time when their table was full. They still took themselves to know every flow of their upstream and denied the flow, which is the proof on which balancers reset flows.

Change: a flow is kept for flow-lifetime-s, after which it may be discarded whatever the idle timeout is, was or will be. An agent that drops a flow within its lifetime, as its table is full or the lifetime was raised since, denies no flow for a lifetime and tells all balancers so. A changed lifetime or evacuation-ms in the settings file is in force at once; the heartbeat interval alone was. /state of agents has knowsAllFlows and Forgotten.

--- a/datagram/absence.go
+++ b/datagram/absence.go
@@ -107,6 +107,9 @@
 // endFlows resets the flows that were opened up to the given time, because their upstream
 // has ended or restarted.
 func (a *Agent) endFlows(before, now time.Duration) {
+	if a.droppedUse <= before {
+		a.droppedUse = 0 // the dropped flows have ended too
+	}
 	for k, f := range a.flows.all() {
 		if f.since > before {
 			f.born = a.upstream.born // if the upstream does not hold it, it bounces its packets
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -46,7 +46,7 @@
 	Evacuation time.Duration
 	// Heartbeat is the time between two announcements of the upstream.
 	Heartbeat HeartbeatInterval
-	// FlowLifetime is the longest lifetime of a flow.
+	// FlowLifetime is the longest lifetime of a flow. It may change while the agent runs.
 	FlowLifetime FlowLifetime
 	// Probe, if not nil, starts a connection attempt to the upstream's address; its result
 	// is passed to HandleProbeResult. It must not block.
@@ -71,6 +71,7 @@
 	version          Version
 	leaving          bool
 	flows            table[*flowState]
+	droppedUse       time.Duration // until when flows may have been in use that were dropped and had not ended; 0: none
 	openFlows        int
 	requests         requests
 	speedLogged      servicetime.Estimate // the last that was logged, and when
@@ -109,6 +110,9 @@
 	Rejected, Held, Kept uint64
 	// Broken is the number of flows that the upstream reset during a request.
 	Broken uint64
+	// Forgotten is the number of flows that had not ended and were dropped because they were not
+	// used for the lifetime of a flow, or because there were too many.
+	Forgotten uint64
 	// SpeedChanges is the number of changes of the upstream's service time.
 	SpeedChanges uint64
 }
@@ -133,9 +137,6 @@
 const (
 	// maxPending exceeds the number of packets that an upstream can hold unread.
 	maxPending = 4096
-	// flowRotationInterval is the rotation interval of the flow table. It exceeds the idle timeout
-	// of flows.
-	flowRotationInterval = 30 * time.Second
 	// maxFlows bounds an agent's memory.
 	maxFlows = 100_000
 	// recountInterval bounds how long a wrong count lasts.
@@ -159,7 +160,7 @@
 func (a *Agent) Start() {
 	a.balancers = map[IP]*balancerView{}
 	a.targets = map[Endpoint]Budget{}
-	a.flows = newTable[*flowState](flowRotationInterval, maxFlows)
+	a.flows = newTable[*flowState](maxFlows)
 }
 
 // AddBalancer adds a balancer unless it is already known, and sends it the agent's status.
@@ -316,7 +317,7 @@
 
 // Tick does the work that is due and returns when it must be called again.
 func (a *Agent) Tick(now time.Duration) time.Duration {
-	a.flows.rotate(now)
+	a.expireFlows(now)
 	a.probe(now)
 	a.updateLevel(now)
 	a.reportNotBounced(now)
--- a/datagram/agents.go
+++ b/datagram/agents.go
@@ -18,17 +18,16 @@
 
 // agents is a balancer's view of the agents.
 type agents struct {
-	placement    Placement
-	zone         ZoneKey
-	zonesOut     map[ZoneKey]bool // shared with the balancer
-	byIP         map[IP]*agentView
-	byService    map[ServiceKey][]*agentView
-	speeds       map[ServiceKey]*serviceSpeed // of the services with a target latency
-	expected     observer                     // receives expected times; may be nil
-	counts       *BalancerCounts
-	log          *Log
-	recordsAt    time.Duration // when the records were last read
-	flowLifetime FlowLifetime
+	placement Placement
+	zone      ZoneKey
+	zonesOut  map[ZoneKey]bool // shared with the balancer
+	byIP      map[IP]*agentView
+	byService map[ServiceKey][]*agentView
+	speeds    map[ServiceKey]*serviceSpeed // of the services with a target latency
+	expected  observer                     // receives expected times; may be nil
+	counts    *BalancerCounts
+	log       *Log
+	recordsAt time.Duration // when the records were last read
 }
 
 func newAgents() agents {
@@ -92,18 +91,17 @@
 			a.status = AgentStatus{Service: m.Service, Zone: m.Zone}
 		}
 	}
-	x.expire(now)
 	x.rebuildIndex()
 }
 
 // expire drops the agents that have sent nothing for too long and have no record. A record
 // counts for expiryTime after it was read, because only watchers of the store read the records
 // regularly. An agent that returns later announces itself.
-func (x *agents) expire(now time.Duration) {
+func (x *agents) expire(l FlowLifetime, now time.Duration) {
 	dropped := false
 	for ip, a := range x.byIP {
 		recorded := a.recorded && now-max(x.recordsAt, a.discovered) <= expiryTime
-		if !recorded && a.isExpired(x.flowLifetime, now) {
+		if !recorded && a.isExpired(l, now) {
 			delete(x.byIP, ip)
 			dropped = true
 		}
--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -41,7 +41,7 @@
 	Observe observer
 	// LookupRate limits the messages per second that lookups send; 0 means the default.
 	LookupRate float64
-	// FlowLifetime is the longest lifetime of a flow.
+	// FlowLifetime is the longest lifetime of a flow. It may change while the balancer runs.
 	FlowLifetime FlowLifetime
 	// Bandwidth of the VM's link in Mbit/s, which bounds the uploads that pass through at the
 	// same time; 0 means that it is not known.
@@ -115,13 +115,8 @@
 	lastSeq uint32 // sequence number of the caller's latest data
 }
 
-const (
-	// locationRotationInterval is the rotation interval of the table of locations. It exceeds the
-	// longest pause within a flow, so that a location is kept as long as its flow is in use.
-	locationRotationInterval = 30 * time.Second
-	// maxLocations bounds a balancer's memory; every flow beyond it costs a lookup.
-	maxLocations = 200_000
-)
+// maxLocations bounds a balancer's memory; every flow beyond it costs a lookup.
+const maxLocations = 200_000
 
 // Start initializes the balancer. Its exported fields must be set before.
 func (b *Balancer) Start() {
@@ -129,9 +124,8 @@
 	b.agents = newAgents()
 	b.agents.placement, b.agents.zone, b.agents.zonesOut = b.Placement, b.Zone, b.zonesOut
 	b.agents.expected, b.agents.counts, b.agents.log = b.Observe, &b.Count, b.Log
-	b.agents.flowLifetime = b.FlowLifetime
 	b.peers = map[IP]*peerView{}
-	b.flows = newTable[flowLocation](locationRotationInterval, maxLocations)
+	b.flows = newTable[flowLocation](maxLocations)
 	b.admissions = map[ServiceKey]*serviceAdmission{}
 	b.openings, b.transfers = newOpenings(), newTransfers(b.Bandwidth)
 	b.homes = newHomeSet([]IP{b.Self}, b.zoneOf)
@@ -195,6 +189,7 @@
 func (b *Balancer) SetMembers(ms []Member, membersRead bool, now time.Duration) {
 	b.membersRead = b.membersRead || membersRead
 	b.agents.applyRecords(ms, now)
+	b.agents.expire(b.FlowLifetime, now)
 	for _, m := range ms {
 		if !m.Agent {
 			b.discoverPeer(m.IP, now)
@@ -346,14 +341,14 @@
 	b.admitUploads(now)
 	b.runLookups(now)
 	b.runLostFlows(now)
-	b.flows.rotate(now)
+	b.flows.rotate(b.FlowLifetime.limit(), now)
 	b.directory.expire(now)
 	if now-b.lastStatus >= StatusInterval {
 		b.suspectSilent(now)
 		b.verifySuspects(now)
 		b.sendPeriodicStatus(now)
 		b.sendStatusToNew(now)
-		b.agents.expire(now)
+		b.agents.expire(b.FlowLifetime, now)
 		b.forgetTrackers()
 		b.requestMissing(now)
 		b.resolveMismatches(now)
--- a/datagram/bench_test.go
+++ b/datagram/bench_test.go
@@ -89,7 +89,7 @@
 		b.Run(fmt.Sprintf("balancer/%d", n), func(b *testing.B) {
 			for b.Loop() {
 				b.ReportMetric(heapOf(n, func() any {
-					t := newTable[flowLocation](locationRotationInterval, maxLocations)
+					t := newTable[flowLocation](maxLocations)
 					for i := range n {
 						t.set(flow(i), flowLocation{agent: 1})
 					}
@@ -100,7 +100,7 @@
 		b.Run(fmt.Sprintf("home/%d", n), func(b *testing.B) {
 			for b.Loop() {
 				b.ReportMetric(heapOf(n, func() any {
-					t := newTable[entry](directoryInterval, maxDirectoryFlows)
+					t := newTable[entry](maxDirectoryFlows)
 					for i := range n {
 						t.set(flow(i), entry{holders: holders{1}})
 					}
@@ -111,7 +111,7 @@
 		b.Run(fmt.Sprintf("agent/%d", n), func(b *testing.B) {
 			for b.Loop() {
 				b.ReportMetric(heapOf(n, func() any {
-					t := newTable[*flowState](flowRotationInterval, maxFlows)
+					t := newTable[*flowState](maxFlows)
 					for i := range n {
 						t.set(flow(i), &flowState{phase: flowOpen})
 					}
--- a/datagram/cadence_test.go
+++ b/datagram/cadence_test.go
@@ -20,13 +20,13 @@
 				b.directory.trackers[ip] = &entryTracker{life: s.Life}
 			}
 			for ; now < time.Minute+2*interval; now += StatusInterval { // one status is lost
-				b.agents.expire(now)
+				b.agents.expire(b.FlowLifetime, now)
 				b.forgetTrackers()
 				if len(b.agents.byIP) != 3 || b.directory.trackers[1] == nil {
 					t.Fatalf("an agent that sends its status each %v was dropped after %v", interval, now-time.Minute)
 				}
 			}
-			b.agents.expire(time.Minute + expiryTime + 3*interval)
+			b.agents.expire(b.FlowLifetime, time.Minute+expiryTime+3*interval)
 			if len(b.agents.byIP) != 0 {
 				t.Errorf("%d agents left after three intervals", len(b.agents.byIP))
 			}
@@ -44,11 +44,11 @@
 			a := b.agents.byIP[3]
 			a.status.Interval, a.lastSeen = MillisOf(lastStatus), now-lastStatus
 			b.suspect(a, "told silent", now)
-			b.agents.expire(now + b.FlowLifetime.limit())
+			b.agents.expire(b.FlowLifetime, now+b.FlowLifetime.limit())
 			if b.agents.byIP[3] == nil {
 				t.Error("dropped while its flows may be looked up")
 			}
-			b.agents.expire(now + b.FlowLifetime.limit() + time.Second)
+			b.agents.expire(b.FlowLifetime, now+b.FlowLifetime.limit()+time.Second)
 			if b.agents.byIP[3] != nil {
 				t.Error("not dropped after the end of its flows")
 			}
--- a/datagram/config.go
+++ b/datagram/config.go
@@ -50,9 +50,11 @@
 
 // Configuration is the set of routes and services that operators have put into effect.
 type Configuration struct {
-	Version     Version
-	Routes      map[Endpoint]Route
-	Services    map[ServiceKey]Service
+	Version  Version
+	Routes   map[Endpoint]Route
+	Services map[ServiceKey]Service
+	// IdleTimeout is the idle time after which a flow may be discarded. Flows are kept for their
+	// lifetime instead, because the idle timeout may be raised while they are idle.
 	IdleTimeout time.Duration
 }
 
--- a/datagram/directory.go
+++ b/datagram/directory.go
@@ -94,13 +94,13 @@
 }
 
 func newDirectory() directory {
-	return directory{flows: newTable[entry](directoryInterval, maxDirectoryFlows), trackers: map[IP]*entryTracker{}}
+	return directory{flows: newTable[entry](maxDirectoryFlows), trackers: map[IP]*entryTracker{}}
 }
 
 // expire drops entries that agents did not repeat.
 func (d *directory) expire(now time.Duration) {
 	early := now-d.flows.rotatedAt < directoryInterval
-	if len(d.flows.rotate(now)) > 0 && early {
+	if dropped, _ := d.flows.rotate(directoryInterval, now); len(dropped) > 0 && early {
 		d.droppedAt = now
 	}
 }
--- a/datagram/lostflows_test.go
+++ b/datagram/lostflows_test.go
@@ -378,7 +378,7 @@
 	for _, n := range []int{10_000, 40_000, 400_000} {
 		b.Run(fmt.Sprint(n, " entries"), func(b *testing.B) {
 			now := 100 * time.Second
-			t := newTable[entry](directoryInterval, maxDirectoryFlows)
+			t := newTable[entry](maxDirectoryFlows)
 			for i := range n {
 				at := now - time.Duration(i)*FlowLifetime(0).limit()/time.Duration(n)
 				t.set(Flow{Caller: Endpoint{IP(i), 1024}}, entry{holders{IP(1 + i%agents)}, 9, Life(1).tag(), MillisOf(at)})
--- a/datagram/observe.go
+++ b/datagram/observe.go
@@ -120,10 +120,12 @@
 	UnderWay int         `json:"requestsUnderWay"`
 	// ServiceTime is the mean service time, TailTime the time that nine in ten requests do not
 	// exceed, in milliseconds; 0: not known. Utilization is the share of slot time in use.
-	ServiceTime  float64 `json:"serviceTimeMs"`
-	TailTime     float64 `json:"tailTimeMs"`
-	Utilization  float64 `json:"utilization"`
-	Balancers    int     `json:"balancers"`
+	ServiceTime float64 `json:"serviceTimeMs"`
+	TailTime    float64 `json:"tailTimeMs"`
+	Utilization float64 `json:"utilization"`
+	Balancers   int     `json:"balancers"`
+	// KnowsAll: the agent knows every flow of its upstream, so it can deny others.
+	KnowsAll     bool    `json:"knowsAllFlows"`
 	ZoneOut      bool    `json:"zoneOut"`
 	Revision     uint64  `json:"evacuationsRevision"`
 	Version      Version `json:"version"`
@@ -140,7 +142,7 @@
 		Counts: a.Count, Upstream: a.upstream.id, State: a.upstream.state.String(), Known: a.flows.len(), Open: a.openFlows,
 		ServiceTime: milliseconds(e.Mean), TailTime: milliseconds(e.Tail), Utilization: u,
 		UnderWay: a.requests.count(), Balancers: len(a.balancers), ZoneOut: a.zoneOut, Revision: a.revision, Version: a.version,
-		Level: uint8(a.level(now)),
+		Level: uint8(a.level(now)), KnowsAll: a.knowsAllFlows(now),
 	}
 	if a.Log != nil {
 		s.LinesLeftOut = a.Log.LeftOut
--- a/datagram/table.go
+++ b/datagram/table.go
@@ -13,14 +13,13 @@
 // that ages are not exact: an entry lives between one and two rotation intervals after its
 // last use.
 type table[V any] struct {
-	interval   time.Duration
 	capacity   int
 	rotatedAt  time.Duration
 	young, old map[Flow]V
 }
 
-func newTable[V any](interval time.Duration, capacity int) table[V] {
-	return table[V]{interval: interval, capacity: capacity, young: map[Flow]V{}, old: map[Flow]V{}}
+func newTable[V any](capacity int) table[V] {
+	return table[V]{capacity: capacity, young: map[Flow]V{}, old: map[Flow]V{}}
 }
 
 func (t *table[V]) get(f Flow) (V, bool) {
@@ -61,12 +60,13 @@
 }
 
 // rotate drops the old generation if the interval is over or the young generation has
-// filled half of the capacity, and returns what it dropped.
-func (t *table[V]) rotate(now time.Duration) map[Flow]V {
-	if now-t.rotatedAt < t.interval && len(t.young) < t.capacity/2 {
-		return nil
+// filled half of the capacity. It returns what it dropped, and the time after which none of
+// that was used.
+func (t *table[V]) rotate(interval, now time.Duration) (dropped map[Flow]V, lastUse time.Duration) {
+	if now-t.rotatedAt < interval && len(t.young) < t.capacity/2 {
+		return nil, 0
 	}
-	dropped := t.old
+	dropped, lastUse = t.old, t.rotatedAt
 	t.rotatedAt, t.old, t.young = now, t.young, make(map[Flow]V, len(t.young))
-	return dropped
+	return dropped, lastUse
 }
--- a/node/agent.go
+++ b/node/agent.go
@@ -130,7 +130,8 @@
 // Run serves until stopped is done, then notifies the balancers and returns.
 func (a *Agent) Run(stopped context.Context) error {
 	defer a.cancel()
-	a.log.Add(events.Started, slog.String("role", string(a.role)), slog.Uint64("life", uint64(a.life)), slog.Duration("heartbeat", a.settings.Heartbeat))
+	a.log.Add(events.Started, slog.String("role", string(a.role)), slog.Uint64("life", uint64(a.life)), slog.Duration("heartbeat", a.settings.Heartbeat),
+		slog.Duration("flowLifetime", a.settings.FlowLifetime))
 	var g run.Group
 	addLog(&g, a.log)
 	g.Add(func() error { return a.loop.run(a.ctx, a) }, func(error) { a.cancel() })
@@ -187,12 +188,13 @@
 	}
 }
 
-// applySettings updates the store's address and the interval of heartbeats from the settings
+// applySettings updates the store's address and the periods of the deployment from the settings
 // and adds the seeds as balancers, to which the agent sends its status.
 func (a *Agent) applySettings(s *platform.Settings) {
 	a.store.updateAddress(s)
 	a.loop.do(a.ctx, func(now time.Duration) {
-		a.agent.Heartbeat = datagram.HeartbeatInterval(s.Heartbeat)
+		a.agent.Heartbeat, a.agent.FlowLifetime = datagram.HeartbeatInterval(s.Heartbeat), datagram.FlowLifetime(s.FlowLifetime)
+		a.agent.Evacuation = s.Evacuation
 		for _, x := range s.Seeds {
 			a.agent.AddBalancer(datagram.IPOf(x.Addr()), now)
 		}
--- a/node/balancer.go
+++ b/node/balancer.go
@@ -151,7 +151,7 @@
 	for _, f := range []func(){b.followConfiguration, b.followEvacuations, b.pollMembers, b.syncWithPeers} {
 		g.Add(func() error { f(); <-b.ctx.Done(); return nil }, func(error) { b.cancel() })
 	}
-	g.Add(func() error { return b.watchSettings(b.ctx, b.store.updateAddress) }, func(error) { b.cancel() })
+	g.Add(func() error { return b.watchSettings(b.ctx, b.applySettings) }, func(error) { b.cancel() })
 	g.Add(func() error { return b.leave(stopped) }, func(error) { b.cancel() })
 	addHTTP(&g, b.settings.Readiness, platform.ReadinessHandler(b.ready.Load))
 	b.addMetrics(&g, b.loop, func() any { return b.balancer.Status(b.loop.now()) })
@@ -161,6 +161,12 @@
 	return err
 }
 
+// applySettings updates the store's address and the lifetime of flows from the settings.
+func (b *Balancer) applySettings(s *platform.Settings) {
+	b.store.updateAddress(s)
+	b.loop.do(b.ctx, func(time.Duration) { b.balancer.FlowLifetime = datagram.FlowLifetime(s.FlowLifetime) })
+}
+
 // sourceStore is logged as the source of what was read from the store, and not from a peer.
 const sourceStore = "store"
 
--- a/node/reload.go
+++ b/node/reload.go
@@ -61,5 +61,6 @@
 	}
 	b.live.Store(s)
 	apply(s)
-	b.log.Add(events.SettingsApplied, slog.Int("seeds", len(s.Seeds)), slog.String("store", s.Store))
+	b.log.Add(events.SettingsApplied, slog.Int("seeds", len(s.Seeds)), slog.String("store", s.Store),
+		slog.Duration("heartbeat", s.Heartbeat), slog.Duration("flowLifetime", s.FlowLifetime))
 }
