Tell flows of the same addresses and ports apart by their openings

The next flow from a port whose flow had ended was reset when the balancers were restarted, and one whose earlier flow was accepted but not confirmed got no packet through.

Cause: records go by addresses and ports, and nothing told a flow from the next one. A balancer sent an opening to the earlier flow's agent without looking at routes, zones and states, the agent checked openings of unknown flows only, and the next flow inherited the record, its end included. A bounced opening counted as the loss of an open flow.

Change: balancers and agents remember the sequence number of the opening that made a flow; only its copies pass by the checks. An opening with another number begins a new record, but a flow that may be open goes on until the upstream accepts the new one: it may be a late copy of an earlier opening. Homes name the agent that registered a flow last first.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -113,6 +113,8 @@
 	agent   IP     // 0: unknown
 	opening uint32 // 0: the flow is open
 	lastSeq uint32 // sequence number of the caller's latest data
+	// openingSeq is the sequence number of the opening that made the flow; 0: not known.
+	openingSeq uint32
 }
 
 // maxLocations bounds a balancer's memory; every flow beyond it costs a lookup.
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -19,8 +19,10 @@
 	kept       bool      // the agent keeps its request
 	ahead      int       // requests that were at the upstream when that one arrived
 	closing    closing
-	born       int64  // Announcement.Born of the upstream run that has the flow; 0 means unknown
-	accepted   uint32 // sequence number of the upstream's acceptance
+	opened     openingNumber // the opening that made the flow
+	next       *nextOpening  // another opening of the same addresses and ports; nil: none
+	born       int64         // Announcement.Born of the upstream run that has the flow; 0 means unknown
+	accepted   uint32        // sequence number of the upstream's acceptance
 	balancer   IP
 	opening    uint32
 	// lookupPending is set while a balancer waits for a report that the flow is here.
@@ -404,6 +406,9 @@
 	}
 	a.Count.Answers++
 	f, known := a.flows.get(k.Flow)
+	if known && f.startsNext(k) {
+		f = a.startNext(k.Flow, f, now)
+	}
 	switch {
 	case !known && !k.Reset:
 		a.adoptFlow(k, now)
@@ -422,6 +427,7 @@
 	f := &flowState{phase: flowOpen, born: a.upstream.born, since: now, ackNumber: k.Seq + uint32(k.Length)}
 	if k.Open {
 		f.phase, f.accepted = flowAccepted, k.Seq
+		f.opened = openingNumber{k.AckNumber - 1, true}
 	} else {
 		a.openFlows++
 	}
@@ -502,6 +508,11 @@
 		return
 	}
 	f, known := a.flows.get(k.Flow)
+	if known && k.Open && !f.opened.is(k) {
+		f.next = nil
+		a.decline(x.balancer, Message{Opening: x.opening}, k.Flow, ReasonFull, now)
+		return
+	}
 	if known && f.phase == flowOpen && !f.closing.ended() {
 		// The upstream lost a flow that was open there, so it has restarted.
 		a.uncountFlow(f, now)
--- a/datagram/gate.go
+++ b/datagram/gate.go
@@ -145,37 +145,34 @@
 		return
 	}
 	a.noteArrival(h.Flags.has(FlagUrgent), now)
-	f, _ := a.flows.get(k.Flow)
-	if f == nil || f.phase == flowUnconfirmed {
+	if f, _ := a.flows.get(k.Flow); f == nil || !f.opened.is(k) {
 		switch r := a.refusalReason(h, now); {
-		case r == ReasonBusy && a.hold(from, h, k.Flow, p, now):
+		case r == ReasonBusy && a.hold(from, h, k, p, now):
 			return
 		case r != ReasonNone:
 			a.decline(from, h, k.Flow, r, now)
 			return
 		}
 	}
-	a.offer(from, h, k.Flow, p, now)
+	a.offer(from, h, k, p, now)
 }
 
 // offer forwards an opening to the upstream.
-func (a *Agent) offer(from IP, h Message, k Flow, p []byte, now time.Duration) {
-	f, _ := a.flows.get(k)
-	if f == nil || f.phase == flowUnconfirmed {
-		f = &flowState{phase: flowOffered, born: a.upstream.born, since: now}
-		f.urgent = h.Flags.has(FlagUrgent)
-		a.noteTarget(k.Address, h.Budget)
-		a.flows.set(k, f)
+func (a *Agent) offer(from IP, h Message, k Packet, p []byte, now time.Duration) {
+	f, _ := a.flows.get(k.Flow)
+	if f == nil || !f.opened.is(k) {
+		f = a.beginFlow(f, k, h.Flags.has(FlagUrgent), now)
+		a.noteTarget(k.Flow.Address, h.Budget)
 		a.expectedRequests.add(1, now)
 		a.Count.Taken++
 		a.Log.logDecision(decision{
-			event: events.OpeningTaken, flow: k, agent: from, version: a.version,
+			event: events.OpeningTaken, flow: k.Flow, agent: from, version: a.version,
 			hop: uint8(min(a.requests.count(), 255)),
 		}, now)
 	}
 	f.balancer, f.opening = from, h.Opening
 	if a.upstream.isSilent(now) {
-		a.decline(from, h, k, ReasonNoAnswer, now)
+		a.decline(from, h, k.Flow, ReasonNoAnswer, now)
 	}
 	if a.upstream.unansweredSince == 0 {
 		a.upstream.unansweredSince = now
--- a/datagram/hold.go
+++ b/datagram/hold.go
@@ -21,26 +21,26 @@
 
 // heldOpening is an opening that waits for a place at the upstream.
 type heldOpening struct {
-	from   IP
-	header Message
-	flow   Flow
-	since  time.Duration
-	packet [maxOpeningLen]byte
-	length int
+	from    IP
+	header  Message
+	opening Packet
+	since   time.Duration
+	packet  [maxOpeningLen]byte
+	length  int
 }
 
 // hold holds back an opening that found the upstream busy. It returns false if the opening
 // has to be declined instead.
-func (a *Agent) hold(from IP, h Message, f Flow, p []byte, now time.Duration) bool {
+func (a *Agent) hold(from IP, h Message, k Packet, p []byte, now time.Duration) bool {
 	if h.Priority != PriorityUrgent || len(a.held) >= maxHeld || len(p) > maxOpeningLen {
 		return false
 	}
-	o := heldOpening{from: from, header: h, flow: f, since: now}
+	o := heldOpening{from: from, header: h, opening: k, since: now}
 	o.length = copy(o.packet[:], p)
 	a.held = append(a.held, o)
 	a.Count.Held++
 	a.Log.logDecision(decision{
-		event: events.OpeningHeld, flow: f, agent: from, version: a.version,
+		event: events.OpeningHeld, flow: k.Flow, agent: from, version: a.version,
 		hop: uint8(min(a.requestCount(now), 255)),
 	}, now)
 	return true
@@ -59,11 +59,11 @@
 		}
 		a.held = a.held[1:]
 		if r != ReasonNone {
-			a.decline(o.from, h, o.flow, r, now)
+			a.decline(o.from, h, o.opening.Flow, r, now)
 			continue
 		}
 		a.Observe.record(ObserveHold, now-o.since)
-		a.offer(o.from, h, o.flow, o.packet[:o.length], now)
+		a.offer(o.from, h, o.opening, o.packet[:o.length], now)
 	}
 }
 
--- a/datagram/homes.go
+++ b/datagram/homes.go
@@ -175,10 +175,11 @@
 type holders [maxHolders]IP
 
 func (h *holders) add(ip IP) {
-	if slices.Contains(h[:], ip) {
-		return
+	at := slices.Index(h[:], ip)
+	if at < 0 {
+		at = maxHolders - 1
 	}
-	copy(h[1:], h[:])
+	copy(h[1:at+1], h[:at])
 	h[0] = ip
 }
 
--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -345,7 +345,9 @@
 
 // handleHeld handles an agent's report that it holds a flow: it sends the kept packets.
 func (b *Balancer) handleHeld(from IP, f Flow, now time.Duration) {
-	b.flows.set(f, flowLocation{agent: from})
+	at, _ := b.flows.get(f)
+	at.agent, at.opening = from, 0
+	b.flows.set(f, at)
 	l := b.lookups.byFlow[f]
 	if l == nil {
 		return
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -43,6 +43,7 @@
 type opening struct {
 	id                uint32
 	flow              Flow
+	seq               uint32 // sequence number of the caller's packet
 	agent             IP
 	sentAt            time.Duration // when it was sent to the agent
 	started           time.Duration
@@ -177,12 +178,15 @@
 // beginOpening begins to open the flow of an opening that arrived at the given time, or goes on.
 func (b *Balancer) beginOpening(m []byte, p Packet, arrived, now time.Duration) {
 	if at, ok := b.flows.get(p.Flow); ok {
-		if o := b.openings.get(at.opening); o != nil {
+		if o := b.openings.get(at.opening); o != nil && o.seq == p.Seq {
 			o.noteCopy(p.AckNumber)
 			b.repeatOpening(o, now)
 			return
+		} else if o != nil {
+			b.abandonOpening(o)
 		}
-		if a := b.agents.byIP[at.agent]; at.opening == 0 && a != nil && a.missedOpenings == 0 {
+		a := b.agents.byIP[at.agent]
+		if at.opening == 0 && at.openingSeq == p.Seq && a != nil && a.missedOpenings == 0 {
 			// The upstream's acceptance was lost; this makes the upstream send it again.
 			b.send(m, Message{Kind: KindOpening, Service: a.status.Service, Cold: b.coldRate(a.status.Service)}, a.ip)
 			return
@@ -200,7 +204,7 @@
 		return
 	}
 	o := b.openings.add()
-	o.flow, o.service, o.started = p.Flow, s, arrived-retransmissionAge(p.AckNumber)
+	o.flow, o.seq, o.service, o.started = p.Flow, p.Seq, s, arrived-retransmissionAge(p.AckNumber)
 	o.urgent, o.targetLatency = r.Urgent, r.TargetLatency
 	o.noteCopy(p.AckNumber)
 	if n := len(m) - HeaderLen; n <= maxOpeningLen {
@@ -376,6 +380,14 @@
 	*o = opening{}
 }
 
+// abandonOpening ends an opening whose caller has given it up and uses the port again.
+func (b *Balancer) abandonOpening(o *opening) {
+	if a := b.agents.byIP[o.agent]; a != nil && o.deadline != 0 && !o.waiting {
+		a.pendingOpenings = max(0, a.pendingOpenings-1)
+	}
+	b.removeOpening(o)
+}
+
 func (b *Balancer) handleOpened(from IP, h Message, p []byte, now time.Duration) {
 	f, ok := decodeFlow(p)
 	if !ok {
@@ -389,8 +401,8 @@
 			b.openings.recordAnswer(o, from, now)
 		}
 		b.noteServed(o, now)
+		b.flows.set(f, flowLocation{agent: from, openingSeq: o.seq})
 		*o = opening{}
-		b.flows.set(f, flowLocation{agent: from})
 	}
 	if a := b.agents.byIP[from]; a != nil {
 		a.missedOpenings = 0
