Don't end open flows at late resets, nor deny them after late openings

Cause, found by going through every path on which an agent ends or denies a flow: a reset of the caller ended the record whatever followed, also if it was a late packet of an earlier flow from the same port. And an agent that was restarted took a late copy of an open flow's opening for a flow that is being opened, found that the caller acknowledged more than the acceptance, and denied the flow, as if the caller had chosen another upstream.

Change: a reset of the caller counts until the caller sends anything else on the flow, which is then registered again. An agent that does not know all flows of its upstream answers in the second case that it can't tell.

--- a/datagram/closing.go
+++ b/datagram/closing.go
@@ -9,8 +9,8 @@
 // addition, each end has acknowledged the other's FIN and so has everything before it. A FIN that
 // overtakes data, or is lost behind the agent, is not acknowledged.
 type closing struct {
-	caller, upstream fin
-	reset            bool
+	caller, upstream               fin
+	resetByCaller, resetByUpstream bool
 	// lastPacket is when the last packet of a flow that has ended was seen.
 	lastPacket time.Duration
 }
@@ -39,33 +39,37 @@
 	f.acknowledged = f.acknowledged || f.sent && p.Ack && !p.Open && p.AckNumber == f.end
 }
 
-// noteCaller updates the state from a packet of the caller.
+// noteCaller updates the state from a packet of the caller. One that goes on after a reset has not
+// sent it on this flow: the reset is a late packet of an earlier flow from its port.
 func (c *closing) noteCaller(p Packet, now time.Duration) {
+	c.resetByCaller = p.Reset
 	c.caller.note(p)
 	c.upstream.noteAck(p)
-	c.noteEnd(p, now)
+	c.noteEnd(now)
 }
 
 // noteUpstream updates the state from a packet of the upstream.
 func (c *closing) noteUpstream(p Packet, now time.Duration) {
+	c.resetByUpstream = c.resetByUpstream || p.Reset
 	c.upstream.note(p)
 	c.caller.noteAck(p)
-	c.noteEnd(p, now)
+	c.noteEnd(now)
 }
 
-func (c *closing) noteEnd(p Packet, now time.Duration) {
-	c.reset = c.reset || p.Reset
+func (c *closing) noteEnd(now time.Duration) {
 	if c.ended() {
 		c.lastPacket = now
 	}
 }
 
 // ended reports whether both ends have sent a FIN, or one of them a reset.
-func (c *closing) ended() bool { return c.reset || c.caller.sent && c.upstream.sent }
+func (c *closing) ended() bool { return c.reset() || c.caller.sent && c.upstream.sent }
+
+func (c *closing) reset() bool { return c.resetByCaller || c.resetByUpstream }
 
 // complete reports whether no end waits for anything from the other.
 func (c *closing) complete() bool {
-	return c.reset || c.caller.acknowledged && c.upstream.acknowledged
+	return c.reset() || c.caller.acknowledged && c.upstream.acknowledged
 }
 
 // expired reports whether the flow has ended and neither end repeats a packet any more.
--- a/datagram/flows.go
+++ b/datagram/flows.go
@@ -99,7 +99,11 @@
 	case f.phase == flowOffered, f.phase == flowAccepted && k.AckNumber != f.accepted+1:
 		// The caller chose another upstream that was offered the same opening. This one
 		// has sent only its acceptance, so a caller that chose it acknowledges exactly
-		// accepted+1.
+		// accepted+1. An agent that started after its upstream may have seen a late copy of the
+		// opening of a flow that is open.
+		if !a.knowsAllFlows(now) {
+			h.Flags |= FlagUnsure
+		}
 		a.flows.remove(k.Flow)
 		a.returnPacket(from, h, m)
 		return
@@ -255,9 +259,14 @@
 // after the answer does not: counted as a request it would never end, and an upstream that
 // receives uploads would be considered busy after some minutes.
 func (a *Agent) trackCallerPacket(k Packet, f *flowState, p []byte, now time.Duration) (complete bool) {
-	if f.closing.noteCaller(k, now); k.Reset {
+	wasReset := f.closing.resetByCaller
+	f.closing.noteCaller(k, now)
+	switch {
+	case k.Reset:
 		f.kept = false
 		a.cancelRequest(f, now)
+	case wasReset && a.needsRegistration(f):
+		a.register(k.Flow, f, now) // homes that have changed since do not have it
 	}
 	end := k.Seq + uint32(k.Length)
 	if k.Length == 0 || f.phase != flowOpen {
--- a/datagram/reopening_test.go
+++ b/datagram/reopening_test.go
@@ -176,6 +176,57 @@
 	}
 }
 
+// Guards against an open flow that counts as reset after a late reset of an earlier flow.
+func TestLateResetOfAnEarlierFlowChangesNothing(t *testing.T) {
+	const flows = 20
+	s := newFlowSite(t, 0)
+	for port := range uint16(flows) {
+		s.open(port)
+		s.close(port)
+		s.reopen(port)
+		s.caller(port, testReset, callerEnd, 0, 0)
+		s.caller(port, testAck, nextStart+1+testLength, nextUpstreamStart+1, 0)
+	}
+	s.run(2 * closedFlowRetention)
+	s.restartBalancers()
+	for port := range uint16(flows) {
+		s.caller(port, testAck, nextStart+1+testLength, nextUpstreamStart+1, testLength)
+	}
+	s.run(3 * time.Second)
+	if s.resets > 0 || s.a.openFlows != flows {
+		t.Errorf("%d of %d flows reset, %d open", s.resets, flows, s.a.openFlows)
+	}
+}
+
+// Guards against an agent that was restarted, sees a late copy of an open flow's opening, and denies
+// the flow because the caller no longer acknowledges the acceptance alone.
+func TestRestartedAgentDoesNotDenyAfterALateOpening(t *testing.T) {
+	for name, accept := range map[string]bool{"the upstream has not answered yet": false, "the upstream repeats its acceptance": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newFlowSite(t, 0)
+			s.open(9)
+			s.answer(9)
+			s.a = s.newAgent(testAgent, 0)
+			s.a.Life++
+			s.announce(int64(s.now)) // not the first announcement of the upstream
+			s.run(time.Second)
+			m := closingPacket(9, testOpen, callerStart, 2, 0)
+			h := Message{Kind: KindOpening, Service: flowSiteRoute, Opening: 999_999}
+			h.Put(m, s.keys[0])
+			s.a.HandleMessage(102, m, s.now)
+			if accept {
+				s.accept(9)
+			}
+			before := s.upstream
+			s.caller(9, testAck, callerEnd, upstreamEnd, testLength)
+			s.run(3 * time.Second)
+			if s.upstream == before || s.resets > 0 {
+				t.Errorf("the upstream got %d packets, the caller %d resets", s.upstream-before, s.resets)
+			}
+		})
+	}
+}
+
 // Guards against lookups that go to the agent of an earlier flow with the same addresses and ports.
 func TestHomesNameTheLatestAgentFirst(t *testing.T) {
 	var h holders
