Tell balancers that start to which services routes led before

Cause: a balancer that was restarted knew the configuration in force only. If nobody had a record of a flow, as its agent and homes had been restarted while it paused, agents of its own service were never asked.

Change: balancers remember where routes led during the lifetime of flows and tell balancers that start, in a message that earlier builds ignore. Lookups ask the agents of former services too, and still none of a service to which the route never led.

--- a/datagram/balancer.go
+++ b/datagram/balancer.go
@@ -50,6 +50,7 @@
 	OnNewerConfiguration func(from IP, v Version)
 
 	config           *Configuration
+	former           formerRoutes
 	zonesOut         map[ZoneKey]bool
 	revision         uint64
 	leaving          bool
@@ -158,6 +159,7 @@
 	if b.config != nil && c.Version <= b.config.Version {
 		return false
 	}
+	b.noteConfigurationChange(b.config, c)
 	b.config = c
 	b.agents.setTimed(c)
 	return true
@@ -331,6 +333,8 @@
 		b.handleLocate(from, p, now)
 	case KindLocated:
 		b.handleLocated(from, h, p, now)
+	case KindRoutes:
+		b.handleFormerRoutes(p, now)
 	}
 }
 
--- a/datagram/lookup.go
+++ b/datagram/lookup.go
@@ -268,8 +268,9 @@
 	return b.bestAgent(l, now, func(a *agentView) bool { return a.status.KnowsAll })
 }
 
-// bestAgent returns the eligible agent of the flow's services with the highest rank that
-// was not asked yet, of all availability zones and of the own one in turn. It returns nil if
+// bestAgent returns the eligible agent with the highest rank that was not asked yet, of all
+// availability zones and of the own one in turn, and of the services to which the flow's route leads
+// or led when the flow may have been opened. It returns nil if
 // there is none or the round has asked enough agents.
 func (b *Balancer) bestAgent(l *lookup, now time.Duration, eligible func(*agentView) bool) *agentView {
 	if b.config == nil || l.asksLeft == 0 {
@@ -277,8 +278,8 @@
 	}
 	var best, bestInZone ranked
 	hash := l.flow.hash()
-	for _, s := range b.config.Routes[l.flow.Address].Shares {
-		for _, a := range b.agents.byService[s.Service] {
+	for _, agents := range b.agentsOf(l.flow.Address, now) {
+		for _, a := range agents {
 			if !a.reachable(now) || slices.Contains(l.asked, a.ip) || !eligible(a) {
 				continue
 			}
--- a/datagram/message.go
+++ b/datagram/message.go
@@ -43,12 +43,15 @@
 	// KindLocate asks a home which agents hold the given flows. KindLocated is the answer.
 	KindLocate
 	KindLocated
+	// KindRoutes tells a balancer that has started recently to which services routes led before.
+	// Earlier builds ignore it.
+	KindRoutes
 	kindEnd
 )
 
 var kindNames = [kindEnd]string{
 	"", "opening", "packet", "opened", "refused", "returned", "notHeld", "held", "agentStatus", "balancerStatus", "silent",
-	"entries", "resend", "locate", "located",
+	"entries", "resend", "locate", "located", "routes",
 }
 
 // String returns the name of the kind in reports.
--- a/datagram/peers.go
+++ b/datagram/peers.go
@@ -10,6 +10,7 @@
 // peerView is a balancer's knowledge of another balancer.
 type peerView struct {
 	life               Life
+	lifeSince          time.Duration // when its run became known
 	zone               ZoneKey       // 0: not known
 	discovered         time.Duration // when it became known
 	lastSeen, lastSent time.Duration // last status received from it and sent to it; 0: never
@@ -141,8 +142,9 @@
 	b.setZone(p, zone)
 	b.noteWatcher(&s, now)
 	if p.lastSeen = now; p.life != s.Life {
-		p.life = s.Life
+		p.life, p.lifeSince = s.Life, now
 		b.sendStatusTo(from, now) // it has just started and knows few processes
+		b.sendFormerRoutes(from, now)
 		b.updateHomes(now)
 	}
 	b.discoverPeers(s.Balancers, now)
--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -71,6 +71,9 @@
 			c.w.second(c.requestStart).Failed++
 			if owner := c.w.owners[c.flow()]; c.open && owner != nil && owner.alive && c.w.measureFrom > 0 && c.requestStart >= c.w.measureFrom {
 				c.w.failedOnLiveFlow++
+				if owner.lastRequestSeq[c.flow()] != c.seq+1 {
+					c.w.neverReceived++
+				}
 			}
 			c.endRequest()
 			c.closeFlow()
--- a/experiment/moved_test.go
+++ b/experiment/moved_test.go
@@ -11,6 +11,11 @@
 // newMovedSite creates a site with upstreams of three services. The returned function
 // moves the route between the first two; the route never leads to the third.
 func newMovedSite(t *testing.T, seed uint64) (w *simulation, move func()) {
+	return newMovedSiteWithPause(t, seed, time.Second)
+}
+
+// newMovedSiteWithPause is like newMovedSite, with the given mean pause of callers.
+func newMovedSiteWithPause(t *testing.T, seed uint64, pause time.Duration) (w *simulation, move func()) {
 	t.Helper()
 	w = newSite(t, seed, 3, 5, 0)
 	former, next := routedServiceKey, datagram.ServiceKeyOf("scans")
@@ -23,9 +28,9 @@
 	}
 	w.runUntil(w.now + time.Second)
 	for i := range 120 {
-		w.addCaller(i, time.Second).flowPerRequest = i%4 == 3
+		w.addCaller(i, pause).flowPerRequest = i%4 == 3
 	}
-	w.runUntil(w.now + 4*time.Second)
+	w.runUntil(w.now + 3*time.Second + pause)
 	v := w.config.Version
 	return w, func() {
 		if v++; w.config.Routes[routeAddress].Shares[0].Service == former {
@@ -48,6 +53,7 @@
 				w.runUntil(w.now + 400*time.Millisecond)
 			}
 		},
+		"agents and balancers restarted one after another": func(w *simulation) { w.restartAgentsAndBalancers(0) },
 		"balancers added and lost": func(w *simulation) {
 			for i, v := range w.balancersByAddress() {
 				w.addBalancer(50+i, size{})
@@ -99,6 +105,46 @@
 	}
 }
 
+// restartAgentsAndBalancers restarts the agents one after another, and the balancers among them from the given
+// agent on.
+func (w *simulation) restartAgentsAndBalancers(from int) {
+	bs := w.balancersByAddress()
+	for i, v := range w.agentsByAddress() {
+		var b *balancerVM
+		if i >= from && i-from < len(bs) {
+			b = bs[i-from]
+		}
+		if v.stop(); b != nil {
+			b.stop()
+		}
+		w.runUntil(w.now + 100*time.Millisecond)
+		if v.start(); b != nil {
+			b.start()
+		}
+		w.runUntil(w.now + 400*time.Millisecond)
+	}
+}
+
+// Guards against flows of a moved route that pause while their agents and homes restart, and are then
+// looked for at the upstreams of the route's new service only.
+func TestPausedFlowsOfAMovedRouteGoOn(t *testing.T) {
+	for seed := range uint64(6) {
+		w, move := newMovedSiteWithPause(t, seed, 8*time.Second)
+		for _, c := range w.callers {
+			c.timeout = 2*time.Second + 200*time.Millisecond // the time for which a flow may be misrouted, and a copy
+		}
+		move()
+		w.runUntil(w.now + time.Second)
+		w.measureFrom = w.now
+		w.restartAgentsAndBalancers(4)
+		w.runUntil(w.now + 12*time.Second)
+		w.checkBreaches(t)
+		if w.neverReceived > 0 {
+			t.Errorf("seed %d: %d of %d requests did not reach the upstreams of their flows, which run", seed, w.neverReceived, w.measuredStarted)
+		}
+	}
+}
+
 // lookupCount returns the number of lookups by all balancers.
 func (w *simulation) lookupCount() (n uint64) {
 	for _, v := range w.balancersByAddress() {
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -67,6 +67,7 @@
 	measureFrom                    time.Duration
 	measuredStarted, measuredInAim int
 	failedOnLiveFlow               int // requests since measureFrom that failed on open flows whose upstreams run
+	neverReceived                  int // those of them that the upstreams have not received
 	shed                           int
 	controlBytes                   map[datagram.IP]int   // bytes of control messages to each VM, with their headers; nil: not counted
 	controlByKind                  map[datagram.Kind]int // the same by kind of message
