Recognize a later run of an upstream whose clock has stepped back

Cause: of two runs the one with the later start time counted as the later one. All announcements of the other were acknowledged and ignored, draining too.

Change: an unknown run with an earlier start time is the later one if it goes on announcing itself for an interval while the known run is overdue, or at once if the known run has ended. Until then, and if it is one of the four runs before, its announcements are not acknowledged.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -113,6 +113,9 @@
 	// Forgotten is the number of flows that had not ended and were dropped because they were not
 	// used for the lifetime of a flow, or because there were too many.
 	Forgotten uint64
+	// OtherRuns is the number of announcements that were not acknowledged, because they were taken
+	// for late ones of earlier runs of the upstream.
+	OtherRuns uint64
 	// SpeedChanges is the number of changes of the upstream's service time.
 	SpeedChanges uint64
 }
@@ -183,19 +186,23 @@
 
 // HandleAnnouncement processes an announcement of the upstream and reports whether it may
 // be acknowledged. Once a draining upstream has the acknowledgement, it receives no further
-// opening.
+// opening, so one that is taken for a late one of an earlier run is not acknowledged.
 func (a *Agent) HandleAnnouncement(n *Announcement, now time.Duration) bool {
 	if n.Service != a.Service {
 		a.Count.BadAnnouncements++
 		return false
 	}
-	previous := a.upstream.state
-	fresh, reborn := a.upstream.apply(n, now)
+	previous, since := a.upstream.state, a.upstream.runKnownSince(n, now)
+	fresh, reborn := a.upstream.apply(n, a.Heartbeat, now)
+	if !fresh && n.Born != a.upstream.born {
+		a.Count.OtherRuns++
+		return false
+	}
 	if !fresh {
 		return true
 	}
 	if reborn {
-		a.endFlows(now-a.Heartbeat.startDelay(n.Age), now)
+		a.endFlows(since-a.Heartbeat.startDelay(n.Age), now)
 	}
 	if a.upstream.state != previous || reborn {
 		a.Log.upstreamChanged(&a.upstream, reborn)
--- a/datagram/upstream.go
+++ b/datagram/upstream.go
@@ -1,6 +1,9 @@
 package datagram
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Announcement is the status that an upstream reports to its agent in each heartbeat.
 type Announcement struct {
@@ -43,26 +46,69 @@
 	// allFlowsKnown is set if the agent knows every flow of this run of the upstream.
 	allFlowsKnown bool
 	bucket        tokenBucket
+	// previous are the runs before this one. Their late announcements are recognized.
+	previous [4]int64
+	// other is another run that announces itself, of which it is not known whether it is later.
+	other otherRun
+}
+
+// otherRun is a run of the upstream that began, by its VM's clock, before the current one.
+type otherRun struct {
+	born, sequence int64
+	since          time.Duration // when its first announcement arrived
 }
 
 // upstreamSilenceTimeout is how long an opening may wait for any packet of the upstream
 // before the upstream is considered silent. It is many times a handshake.
 const upstreamSilenceTimeout = 50 * time.Millisecond
 
+// isEarlierRun reports whether the announcement is taken for a late one of an earlier run of the
+// upstream.
+//
+// A run with an earlier start time may be a later one, as the VM's clock can step back between two
+// runs. It is one if it goes on announcing itself for an interval while the current run is
+// overdue: late announcements of an upstream that has ended arrive together.
+func (u *upstream) isEarlierRun(a *Announcement, h HeartbeatInterval, now time.Duration) bool {
+	switch {
+	case u.born == 0, a.Born == u.born:
+		return false
+	case slices.Contains(u.previous[:], a.Born):
+		return true
+	case a.Born > u.born, u.state == UpstreamGone, u.state == UpstreamAbsent:
+		return false
+	case u.other.born != a.Born, u.other.since <= u.announcedAt:
+		u.other = otherRun{a.Born, a.Sequence, now}
+		return true
+	case a.Sequence <= u.other.sequence:
+		return true
+	}
+	u.other.sequence = a.Sequence
+	return now-u.announcedAt <= h.timeout() || now-u.other.since < h.duration()
+}
+
+// runKnownSince returns when the first announcement of the run arrived, if this is an announcement of
+// a run that is not the current one.
+func (u *upstream) runKnownSince(a *Announcement, now time.Duration) time.Duration {
+	if u.other.born == a.Born && u.other.since > u.announcedAt {
+		return u.other.since
+	}
+	return now
+}
+
 // apply applies an announcement. It returns fresh as false if the announcement is late or
 // repeated, and reborn as true if it is of a later run of the upstream.
 //
 // A delayed announcement must not undo the one that followed it: a draining upstream would
 // get flows again. A delayed one has a sequence not above the last one of the same run, or
 // belongs to an earlier run.
-func (u *upstream) apply(a *Announcement, now time.Duration) (fresh, reborn bool) {
-	switch {
-	case a.Born < u.born, a.Born == u.born && a.Sequence <= u.sequence && u.state != UpstreamUnknown:
+func (u *upstream) apply(a *Announcement, h HeartbeatInterval, now time.Duration) (fresh, reborn bool) {
+	if u.isEarlierRun(a, h, now) || a.Born == u.born && a.Sequence <= u.sequence && u.state != UpstreamUnknown {
 		return false, false
 	}
-	reborn = u.born != 0 && a.Born > u.born
+	reborn = u.born != 0 && a.Born != u.born
 	if reborn {
-		*u = upstream{}
+		p := u.previous
+		*u = upstream{previous: [4]int64{u.born, p[0], p[1], p[2]}}
 	}
 	// Flows come through the agent only, and none before the first announcement.
 	u.allFlowsKnown = u.allFlowsKnown || reborn || a.Sequence == 1 || a.startedDuring(now)
--- a/datagram/upstream_test.go
+++ b/datagram/upstream_test.go
@@ -22,7 +22,7 @@
 		t.Run(name, func(t *testing.T) {
 			var u upstream
 			for i := range x.announcements {
-				u.apply(&x.announcements[i], time.Second)
+				u.apply(&x.announcements[i], 0, time.Second)
 			}
 			if u.state != x.state || u.born != x.born {
 				t.Errorf("state %v of run %d", u.state, u.born)
@@ -48,7 +48,7 @@
 		t.Run(name, func(t *testing.T) {
 			a := Agent{}
 			for i := range x.announcements {
-				a.upstream.apply(&x.announcements[i], 100*time.Millisecond)
+				a.upstream.apply(&x.announcements[i], 0, 100*time.Millisecond)
 			}
 			if a.knowsAllFlows(a.Heartbeat.firstTimeout()) != x.want {
 				t.Errorf("knows all flows: %t", !x.want)
@@ -110,3 +110,79 @@
 		t.Error("a repeated status was accepted")
 	}
 }
+
+// Guards against an upstream that starts again after its clock has stepped back, whose announcements
+// are acknowledged and ignored: it drains and gets openings. Late announcements of earlier runs must
+// change nothing.
+func TestRunsOfAnUpstreamWhoseClockSteps(t *testing.T) {
+	const ms = time.Millisecond
+	type step struct {
+		at           time.Duration
+		born, n      int64
+		draining     bool
+		acknowledged bool
+	}
+	for name, x := range map[string]struct {
+		steps []step
+		state UpstreamState
+		born  int64
+	}{
+		"steps back": {[]step{
+			{0, 9, 1, false, true}, {700 * ms, 9, 2, false, true}, {1000 * ms, 5, 1, false, false}, {1700 * ms, 5, 2, false, false}, {2400 * ms, 5, 3, false, true},
+		}, UpstreamReady, 5},
+		"steps back, drains": {[]step{
+			{0, 9, 1, false, true}, {500 * ms, 5, 1, false, false}, {1200 * ms, 5, 2, true, false}, {2000 * ms, 5, 3, true, true},
+		}, UpstreamDraining, 5},
+		"steps back, repeats what is not acknowledged": {[]step{
+			{0, 9, 1, false, true}, {500 * ms, 5, 1, false, false}, {600 * ms, 5, 2, false, false}, {1500 * ms, 5, 11, false, false}, {1600 * ms, 5, 12, false, true},
+		}, UpstreamReady, 5},
+		"steps forward": {[]step{{0, 5, 4, false, true}, {700 * ms, 9, 1, true, true}}, UpstreamDraining, 9},
+		"steps back, then forward": {[]step{
+			{0, 9, 1, false, true}, {500 * ms, 5, 1, false, false}, {2000 * ms, 5, 2, false, true}, {2700 * ms, 12, 1, false, true},
+		}, UpstreamReady, 12},
+		"late, earlier run": {[]step{
+			{0, 9, 1, false, true}, {100 * ms, 5, 7, true, false}, {200 * ms, 5, 8, true, false}, {700 * ms, 9, 2, false, true}, {800 * ms, 5, 9, true, false},
+		}, UpstreamReady, 9},
+		"late, the current run has ended": {[]step{{0, 9, 1, false, true}, {2000 * ms, 5, 7, true, false}, {2001 * ms, 5, 8, true, false}, {2002 * ms, 5, 6, true, false}}, UpstreamReady, 9},
+		"late, run from before the clock stepped back": {[]step{
+			{0, 9, 1, false, true}, {500 * ms, 5, 1, false, false}, {2000 * ms, 5, 2, false, true}, {2100 * ms, 9, 2, true, false}, {2700 * ms, 5, 3, false, true},
+		}, UpstreamReady, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, _ := newLookupAgent(t)
+			for i, s := range x.steps {
+				if got := a.HandleAnnouncement(&Announcement{Service: 7, Born: s.born, Sequence: s.n, Draining: s.draining}, time.Second+s.at); got != s.acknowledged {
+					t.Errorf("announcement %d acknowledged: %t", i, got)
+				}
+			}
+			if u := &a.upstream; u.state != x.state || u.born != x.born {
+				t.Errorf("state %v of run %d, want %v of %d", u.state, u.born, x.state, x.born)
+			}
+		})
+	}
+}
+
+// Guards against resets of flows that were opened in the current run of the upstream before the agent
+// knew that it is the later one, and against flows of the earlier run that are not reset.
+func TestFlowsOfARunThatIsKnownLate(t *testing.T) {
+	s := newFlowSite(t, 0)
+	s.open(1)
+	s.answer(1)
+	s.run(5 * time.Second)
+	start := s.now
+	for n := int64(1); s.a.upstream.born == 5; n++ {
+		s.a.HandleAnnouncement(&Announcement{Service: flowSiteRoute, Born: 4, Sequence: n, Slots: 5}, s.now)
+		if n == 1 {
+			s.open(2)
+			s.answer(2)
+		}
+		if s.now += 100 * time.Millisecond; s.now > start+5*time.Second {
+			t.Fatal("the later run is not recognized")
+		}
+	}
+	_, earlier := s.a.flows.get(testFlow(1))
+	f, later := s.a.flows.get(testFlow(2))
+	if earlier || !later || f.born != 4 || s.resets != 1 {
+		t.Errorf("flow of the earlier run known: %t, of the later one: %t, %d resets", earlier, later, s.resets)
+	}
+}
