--- a/datagram/closing_test.go
+++ b/datagram/closing_test.go
@@ -9,7 +9,7 @@
 	"pomeloway.example/pomeloway/link"
 )
 
-// closingFormat is a format whose packets have flags, numbers and data.
+// closingFormat is a format whose packets have flags, numbers, a scratch field and data.
 type closingFormat struct{ plainFormat }
 
 const (
@@ -20,7 +20,7 @@
 	testBounced
 )
 
-const closingHeaderLen = 1 + flowLen + 4 + 4
+const closingHeaderLen = 1 + flowLen + 4 + 4 + 4
 
 func (closingFormat) Parse(b []byte) (p Packet, ok bool) {
 	if len(b) < closingHeaderLen {
@@ -30,12 +30,26 @@
 	x := b[0]
 	p.Open, p.Ack, p.Fin, p.Reset, p.Bounced = x&testOpen != 0, x&testAck != 0, x&testFin != 0, x&testReset != 0, x&testBounced != 0
 	p.Seq, p.AckNumber = binary.BigEndian.Uint32(b[1+flowLen:]), binary.BigEndian.Uint32(b[5+flowLen:])
+	p.Scratch = binary.BigEndian.Uint32(b[9+flowLen:])
 	p.Length = len(b) - closingHeaderLen
 	return p, ok
 }
 
+func (closingFormat) SetScratch(b []byte, v uint32) { binary.BigEndian.PutUint32(b[9+flowLen:], v) }
+
+func (closingFormat) ClearBounced(b []byte) { b[0] &^= testBounced }
+
 func (f closingFormat) ParseOutbound(b []byte) (Packet, bool) { return f.Parse(b) }
 
+// PutReset writes a reset without an acknowledgement, which only balancers and agents send.
+func (closingFormat) PutReset(b []byte, f Flow, seq uint32) int {
+	clear(b[:closingHeaderLen])
+	b[0] = testReset
+	f.put(b[1:])
+	binary.BigEndian.PutUint32(b[1+flowLen:], seq)
+	return closingHeaderLen
+}
+
 // closingPacket returns a packet of a flow, with space for a header before it.
 func closingPacket(port uint16, flags byte, seq, ack uint32, length int) []byte {
 	b := make([]byte, HeaderLen+closingHeaderLen+length)
@@ -63,11 +77,17 @@
 	now       time.Duration
 	keys      link.Keys
 	a         *Agent
+	started   time.Duration // when the agent started
 	draining  map[IP]*Agent
+	startedAt map[IP]time.Duration // when agents in draining started, if not at the beginning
 	balancers map[IP]*Balancer
 	lives     Life
 	// resets counts the resets for callers, upstream the packets for the upstream.
 	resets, upstream int
+	// onUpstream and onReset, if not nil, are called with each packet for the upstream of an agent
+	// and with the caller's port and the number of each reset.
+	onUpstream func(agent IP, p []byte)
+	onReset    func(port uint16, number uint32)
 }
 
 // flowSitePort is one process of a flowSite, as its output.
@@ -79,27 +99,36 @@
 func (o flowSitePort) ToProcess(to IP, m []byte) {
 	s, m := o.s, slices.Clone(m)
 	if a := s.draining[to]; a != nil {
-		a.HandleMessage(o.from, m, s.now)
+		a.HandleMessage(o.from, m, s.now-s.startedAt[to])
 	} else if to == testAgent {
-		s.a.HandleMessage(o.from, m, s.now)
+		s.a.HandleMessage(o.from, m, s.uptime())
 	} else if b := s.balancers[to]; b != nil {
 		b.HandleMessage(o.from, m, s.now)
 	}
 }
 
-// ToCaller takes packets of one byte, which closingFormat writes, for resets.
 func (o flowSitePort) ToCaller(_ IP, p []byte) {
-	if len(p) == 1 {
-		o.s.resets++
+	if p[0] != testReset {
+		return
+	}
+	if o.s.resets++; o.s.onReset != nil {
+		k, _ := closingFormat{}.Parse(p)
+		o.s.onReset(k.Flow.Caller.Port, k.Seq)
 	}
 }
 
-func (o flowSitePort) ToUpstream([]byte) { o.s.upstream++ }
+func (o flowSitePort) ToUpstream(p []byte) {
+	if o.s.upstream++; o.s.onUpstream != nil {
+		o.s.onUpstream(o.from, p)
+	}
+}
 
 const flowSiteRoute = 7
 
-func newFlowSite(t *testing.T, l FlowLifetime) *flowSite {
-	s := &flowSite{now: time.Second, keys: testKeys(t), balancers: map[IP]*Balancer{}, draining: map[IP]*Agent{}}
+func newFlowSite(t *testing.T, l FlowLifetime) *flowSite { return newFlowSiteWithKeys(testKeys(t), l) }
+
+func newFlowSiteWithKeys(ks link.Keys, l FlowLifetime) *flowSite {
+	s := &flowSite{now: time.Second, keys: ks, balancers: map[IP]*Balancer{}, draining: map[IP]*Agent{}, startedAt: map[IP]time.Duration{}}
 	s.a = s.newAgent(testAgent, l)
 	for ip := IP(11); ip <= 13; ip++ {
 		s.draining[ip] = s.newAgent(ip, l)
@@ -119,12 +148,34 @@
 }
 
 func (s *flowSite) announce(n int64) {
-	s.a.HandleAnnouncement(&Announcement{Service: flowSiteRoute, Born: 5, Sequence: n, Slots: 500}, s.now)
-	for _, a := range s.draining {
-		a.HandleAnnouncement(&Announcement{Service: flowSiteRoute, Draining: true, Born: 5, Sequence: n, Slots: 500}, s.now)
+	s.a.HandleAnnouncement(&Announcement{Service: flowSiteRoute, Born: 5, Sequence: n, Slots: 500}, s.uptime())
+	for ip, a := range s.draining {
+		a.HandleAnnouncement(&Announcement{Service: flowSiteRoute, Draining: true, Born: 5, Sequence: n, Slots: 500}, s.now-s.startedAt[ip])
 	}
 }
 
+// uptime returns the time since the agent started.
+func (s *flowSite) uptime() time.Duration { return s.now - s.started }
+
+// restartAgent restarts the agent. The upstream, which goes on, announces itself.
+func (s *flowSite) restartAgent() {
+	s.lives++
+	l := s.a.FlowLifetime
+	s.a, s.started = s.newAgent(testAgent, l), s.now
+	s.a.Life = 1000 + s.lives
+	s.run(100 * time.Millisecond)
+	s.announce(int64(s.now))
+}
+
+// restartDraining restarts an agent whose upstream drains.
+func (s *flowSite) restartDraining(ip IP) {
+	s.lives++
+	s.draining[ip], s.startedAt[ip] = s.newAgent(ip, s.a.FlowLifetime), s.now
+	s.draining[ip].Life = 1000 + s.lives
+	s.run(100 * time.Millisecond)
+	s.announce(int64(s.now))
+}
+
 func (s *flowSite) startBalancer(ip IP, l FlowLifetime) {
 	s.lives++
 	b := &Balancer{Self: ip, Life: s.lives, Format: closingFormat{}, Out: flowSitePort{s, ip}, Keys: s.keys, FlowLifetime: l}
@@ -158,9 +209,9 @@
 		if s.now%(500*time.Millisecond) == 0 {
 			s.announce(int64(s.now))
 		}
-		s.a.Tick(s.now)
-		for _, a := range s.draining {
-			a.Tick(s.now)
+		s.a.Tick(s.uptime())
+		for ip, a := range s.draining {
+			a.Tick(s.now - s.startedAt[ip])
 		}
 		for _, ip := range []IP{101, 102} {
 			if b := s.balancers[ip]; b != nil {
@@ -177,7 +228,7 @@
 
 // reply sends a packet of the upstream.
 func (s *flowSite) reply(port uint16, flags byte, seq, ack uint32, length int) {
-	s.a.HandleUpstream(closingPacket(port, flags, seq, ack, length), s.now)
+	s.a.HandleUpstream(closingPacket(port, flags, seq, ack, length), s.uptime())
 }
 
 // open opens a flow, on which the caller sends a request.
--- a/datagram/reopening_test.go
+++ b/datagram/reopening_test.go
@@ -206,14 +206,12 @@
 			s := newFlowSite(t, 0)
 			s.open(9)
 			s.answer(9)
-			s.a = s.newAgent(testAgent, 0)
-			s.a.Life++
-			s.announce(int64(s.now)) // not the first announcement of the upstream
+			s.restartAgent()
 			s.run(time.Second)
 			m := closingPacket(9, testOpen, callerStart, 2, 0)
 			h := Message{Kind: KindOpening, Service: flowSiteRoute, Opening: 999_999}
 			h.Put(m, s.keys[0])
-			s.a.HandleMessage(102, m, s.now)
+			s.a.HandleMessage(102, m, s.uptime())
 			if accept {
 				s.accept(9)
 			}
