--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -43,7 +43,9 @@
 	flows     map[flowKey]*served
 	arrivals  []arrival
 	ran       int
-	beats     chan struct{} // closed when the backend ends
+	// acknowledged counts the heartbeats that were.
+	acknowledged int
+	beats        chan struct{} // closed when the backend ends
 }
 
 // arrival is an opening packet that the backend took while it was cold.
@@ -92,6 +94,8 @@
 		a, err := b.s.client.Post("http://"+b.s.at(b.n.ip, portControl).String()+"/pomeloway/instances/i-"+b.n.name+"/heartbeat", "application/json", bytes.NewReader(body))
 		if err != nil || a.StatusCode != http.StatusOK {
 			pause = 100 * time.Millisecond // the agent has not started yet
+		} else {
+			b.s.locked(func() { b.acknowledged++ })
 		}
 		if err == nil {
 			a.Body.Close()
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -79,15 +79,17 @@
 	client  *http.Client
 	mesh    mesh
 
-	nodes   []*node // fronts, then sides
-	seeds   []string
-	zones   map[string]int // region of each
-	routes  []standin.Route
-	mu      sync.Mutex // guards what follows and all stand-ins
-	over    bool
-	version int
-	ends    []*backend
-	callers []*caller
+	nodes  []*node // fronts, then sides
+	seeds  []string
+	zones  map[string]int // region of each
+	routes []standin.Route
+	// sameRegion: the two sides of the mesh are of one region.
+	sameRegion bool
+	mu         sync.Mutex // guards what follows and all stand-ins
+	over       bool
+	version    int
+	ends       []*backend
+	callers    []*caller
 }
 
 // newSite reserves ports and starts the platform's store. The record holds what is noted.
@@ -194,8 +196,14 @@
 		app = fmt.Sprintf("app = %q\nservice = %q\n", s.at(n.ip, portApp), n.service)
 	}
 	var zones strings.Builder
+	region := func(r int) int {
+		if s.sameRegion {
+			return 1
+		}
+		return r + 1
+	}
 	for z, r := range s.zones {
-		fmt.Fprintf(&zones, "%s = \"region-%d\"\n", z, r+1)
+		fmt.Fprintf(&zones, "%s = \"region-%d\"\n", z, region(r))
 	}
 	seeds, _ := json.Marshal(s.seeds)
 	text := fmt.Sprintf(`node = %q
@@ -246,7 +254,7 @@
 reads-per-s = 2000
 history-s = 20
 value-bytes = 1048576
-`, n.name, n.role, class, serves, n.ip, n.zone, n.region+1, int(s.port)+internal(n.region), int(s.port)+internal(n.region)+internalPorts-1, seeds,
+`, n.name, n.role, class, serves, n.ip, n.zone, region(n.region), int(s.port)+internal(n.region), int(s.port)+internal(n.region)+internalPorts-1, seeds,
 		heartbeat.Milliseconds(), app, zones.String(), s.at(n.ip, portCallers), s.at(n.ip, portReadiness), s.at(n.ip, portControl), listen,
 		stabilityWindow.Milliseconds(), coldBurstFactor, coldSlack, int(flowLifetime.Seconds()), s.at(s.ip(2), portStore))
 	return os.WriteFile(n.settings, []byte(text), 0o600)
