--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -130,6 +130,9 @@
 	}
 	k := flowKey{p.src, p.dst}
 	f := b.flows[k]
+	if p.flags&flagSYN == 0 {
+		b.s.reached[k] = append(b.s.reached[k], reach{now, f != nil && (f.open || p.ack == f.seq+1)})
+	}
 	switch {
 	case p.flags&flagSYN != 0:
 		if f == nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 	"regions": playRegions,
 	"clock":   playClock,
 	"cold":    playCold,
+	"moved":   playMoved,
 	"rack":    playRack,
 }
 
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -89,13 +89,14 @@
 	over       bool
 	version    int
 	ends       []*backend
+	reached    map[flowKey][]reach // packets of established flows at backends
 	callers    []*caller
 }
 
 // newSite reserves ports and starts the platform's store. The record holds what is noted.
 func newSite(record string, trouble bool) (*site, error) {
 	s := &site{
-		trouble: trouble, started: time.Now(), zones: map[string]int{}, starts: make(chan func()),
+		trouble: trouble, started: time.Now(), zones: map[string]int{}, reached: map[flowKey][]reach{}, starts: make(chan func()),
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	if _, err := os.Stat(program); err != nil {
@@ -410,6 +411,9 @@
 	}
 	c := standin.Configuration(s.version, s.routes, services)
 	c["limits"] = map[string]any{"idle-timeout-ms": 15_000}
+	if s.version > 1 {
+		return s.put(http.MethodPut, "config", "main", c)
+	}
 	return s.put(http.MethodPost, "config", "main", c)
 }
 
