--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,6 +32,7 @@
 	"cold":    playCold,
 	"moved":   playMoved,
 	"rack":    playRack,
+	"late":    playLate,
 }
 
 func main() {
