--- a/review/standin-2/mesh.go
+++ b/review/standin-2/mesh.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 )
 
 func hashOf(texts ...string) uint32 {
@@ -26,6 +27,18 @@
 	closers []io.Closer
 }
 
+// connectStore gives the nodes of the second side of the mesh a way to the platform's store that is cut
+// with the mesh.
+func (s *site) connectStore() error {
+	l, err := net.Listen("tcp4", s.at(s.ip(3), portStore).String())
+	if err != nil {
+		return err
+	}
+	s.mesh.closers = append(s.mesh.closers, l)
+	go s.mesh.accept(l, s.at(s.ip(2), portStore))
+	return nil
+}
+
 // connect joins the regions' nodes.
 func (s *site) connect() error {
 	sockets := map[netip.Addr]*net.UDPConn{} // at a node's address and the other region's port
@@ -85,12 +98,30 @@
 				return
 			}
 			defer d.Close()
-			go io.Copy(d, c)
-			io.Copy(c, d)
+			go m.copy(d, c)
+			m.copy(c, d)
 		}()
 	}
 }
 
+// copy copies until an end closes. While the mesh is cut, it holds back what it has read, as TCP
+// repeats it.
+func (m *mesh) copy(to, from net.Conn) {
+	b := make([]byte, 4096)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		for m.cut.Load() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			return
+		}
+	}
+}
+
 func (m *mesh) close() {
 	for _, c := range m.closers {
 		c.Close()
--- a/review/standin-2/rack.go
+++ b/review/standin-2/rack.go
@@ -16,12 +16,12 @@
 	requestTries = 3
 )
 
-// playRack cuts the side machines off from the fronts, as the loss of a rack's switch does, and
+// playRack cuts the side machines off from all others, as the loss of a rack's switch does, and
 // connects them again. Requests are sent before, and from the recovery time on after.
 func playRack(s *site) error {
 	address := s.at(s.ip(200), portCallers)
 	s.routes = []standin.Route{{Address: address, Service: "letters", Priority: 1, TargetLatency: 300 * time.Millisecond}}
-	s.sameRegion = true
+	s.racks = true
 	for range 2 {
 		s.add("balancer", "zone-a", 0, "")
 	}
@@ -34,6 +34,9 @@
 	if err := s.connect(); err != nil {
 		return err
 	}
+	if err := s.connectStore(); err != nil {
+		return err
+	}
 	for _, n := range s.nodes {
 		if n.role == "agent" {
 			if _, err := s.newBackend(n, 0); err != nil {
@@ -55,7 +58,7 @@
 		return fmt.Errorf("only %d of %d requests were served before", before, sent)
 	}
 	if s.trouble {
-		s.note("disruption: the side machines can't reach the fronts for %v; all reach the platform's store and the clients", rackCut)
+		s.note("disruption: the side machines can't reach the fronts and the platform's store for %v", rackCut)
 		s.mesh.cut.Store(true)
 		time.Sleep(rackCut)
 		s.mesh.cut.Store(false)
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -83,14 +83,15 @@
 	seeds  []string
 	zones  map[string]int // region of each
 	routes []standin.Route
-	// sameRegion: the two sides of the mesh are of one region.
-	sameRegion bool
-	mu         sync.Mutex // guards what follows and all stand-ins
-	over       bool
-	version    int
-	ends       []*backend
-	reached    map[flowKey][]reach // packets of established flows at backends
-	callers    []*caller
+	// racks: the two sides of the mesh are racks of one region, and the nodes of the second one
+	// reach the store through the mesh.
+	racks   bool
+	mu      sync.Mutex // guards what follows and all stand-ins
+	over    bool
+	version int
+	ends    []*backend
+	reached map[flowKey][]reach // packets of established flows at backends
+	callers []*caller
 }
 
 // newSite reserves ports and starts the platform's store. The record holds what is noted.
@@ -198,7 +199,7 @@
 	}
 	var zones strings.Builder
 	region := func(r int) int {
-		if s.sameRegion {
+		if s.racks {
 			return 1
 		}
 		return r + 1
@@ -206,6 +207,10 @@
 	for z, r := range s.zones {
 		fmt.Fprintf(&zones, "%s = \"region-%d\"\n", z, region(r))
 	}
+	store := s.at(s.ip(2), portStore)
+	if s.racks && n.region == 1 {
+		store = s.at(s.ip(3), portStore)
+	}
 	seeds, _ := json.Marshal(s.seeds)
 	text := fmt.Sprintf(`node = %q
 role = %q
@@ -257,7 +262,7 @@
 value-bytes = 1048576
 `, n.name, n.role, class, serves, n.ip, n.zone, region(n.region), int(s.port)+internal(n.region), int(s.port)+internal(n.region)+internalPorts-1, seeds,
 		heartbeat.Milliseconds(), app, zones.String(), s.at(n.ip, portCallers), s.at(n.ip, portReadiness), s.at(n.ip, portControl), listen,
-		stabilityWindow.Milliseconds(), coldBurstFactor, coldSlack, int(flowLifetime.Seconds()), s.at(s.ip(2), portStore))
+		stabilityWindow.Milliseconds(), coldBurstFactor, coldSlack, int(flowLifetime.Seconds()), store)
 	return os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
